--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -10,6 +10,7 @@
 from hoplane.core import events as ev
 from hoplane.core.border import to_ns, to_span
 from hoplane.core.ledger import Ledger
+from hoplane.core.tally import Tally
 from hoplane.decision import interface as api
 from hoplane.decision.interface import Status
 from hoplane.decision.rules import Router
@@ -58,6 +59,7 @@
     requests: dict[str, Request] = field(default_factory=dict)
     numbers: dict[str, int] = field(default_factory=dict)  # the module's server numbers, by name
     fleet: dict[int, ev.Endpoint] = field(default_factory=dict)
+    tally: Tally = field(default_factory=Tally)
 
     def number(self, name: str) -> int:
         """Give an endpoint's number: the same at every conductor, as the module's ring hashes it."""
@@ -72,6 +74,8 @@
 def reduce(state: Conductor, now: timedelta, event: ev.Event) -> list[ev.Effect]:
     """Take an event in and give the effects that it calls for, in order."""
     effects = list(HANDLERS[type(event)](state, now, event))
+    if facts := state.tally.line(now):
+        effects.append(ev.Say("work", facts))
     # The module may ask for one release twice, at an attempt's end and at the request's: one call is enough.
     return [each for at, each in enumerate(effects) if type(each) is not ev.LetGo or each not in effects[:at]]
 
@@ -103,6 +107,7 @@
     if once:
         state.ledger.start(once)
     state.requests[event.id] = Request(event, now, now + event.patience)
+    state.tally.add("asked")
     yield ev.Wake(now + event.patience + BACKSTOP, (event.id, None, now))
     yield from decide(state, now, api.Request(
         event.id, event.cls, event.prompt, event.max_out, to_ns(event.patience),
@@ -132,6 +137,7 @@
         return
     attempt = request.attempts[event.attempt]
     attempt.began = request.began = True
+    state.tally.add("first_token", now - attempt.sent)
     yield from decide(state, now, api.FirstToken(
         event.id, event.attempt, attempt.server, to_ns(now - attempt.sent)
     ))
@@ -147,6 +153,7 @@
     if status is Status.CANCELLED and attempt.abandoned is not None:
         status = attempt.abandoned
     attempt.over = True
+    state.tally.add(f"{'read' if attempt.reads else 'write'}_{status.value}", now - attempt.sent)
     if attempt.began or status is Status.OK:
         request.closed = True
     if attempt.reads and status in MAY_HAVE_RUN:
@@ -166,6 +173,7 @@
     if request is None:
         return
     request.holds -= 1
+    state.tally.add({True: "held", False: "not_held", None: "hold_unknown"}[event.held])
     attempt = request.attempts[event.attempt]
     if event.held is not None and not attempt.over:
         yield from decide(state, now, api.Place(event.id, event.attempt, attempt.server, event.held))
@@ -277,6 +285,7 @@
     request = state.requests.get(action.request)
     if request is not None and not request.closed:
         request.closed = True
+        state.tally.add("refused", now - request.taken)
         yield ev.Refuse(action.request, to_span(action.pause), "given up by the module")
 
 
@@ -285,6 +294,7 @@
     request = state.requests.get(action.request)
     if request is not None and not request.closed:
         request.closed = True
+        state.tally.add("failed", now - request.taken)
         yield ev.Fail(action.request, "it may have run and may not run again, or its time is over")
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -202,3 +202,18 @@
     core.do(ev.Listed((endpoint("r", "reader", State.GONE),), False))
     core.do(ev.Listed((endpoint("r", "reader"),), False))
     assert core.state.number("r") == before
+
+
+def test_one_line_an_interval_tells_what_was_met_at_each_stage():
+    core = Core()
+    core.ask()
+    core.read()
+    core.do(ev.Began("q", 1), 30 * MS)
+    assert not [say for say in core.of(ev.Say) if say.event == "work"]
+    core.do(ev.Ended("q", 1, Status.OK), 6 * SECOND)
+    (line,) = core.of(ev.Say)
+    facts = line.facts
+    assert (line.event, facts["asked"], facts["read_miss"], facts["write_ok"]) == ("work", 1, 1, 1)
+    assert (facts["read_miss_ms"], facts["first_token_ms"], facts["first_token_most_ms"]) == (10, 30, 30)
+    core.ask("next", after=SECOND)
+    assert not core.of(ev.Say), "the next line comes an interval later"
