--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -74,8 +74,6 @@
 def reduce(state: Conductor, now: timedelta, event: ev.Event) -> list[ev.Effect]:
     """Take an event in and give the effects that it calls for, in order."""
     effects = list(HANDLERS[type(event)](state, now, event))
-    if facts := state.tally.line(now):
-        effects.append(ev.Say("work", facts))
     # The module may ask for one release twice, at an attempt's end and at the request's: one call is enough.
     return [each for at, each in enumerate(effects) if type(each) is not ev.LetGo or each not in effects[:at]]
 
@@ -154,6 +152,8 @@
         status = attempt.abandoned
     attempt.over = True
     state.tally.add(f"{'read' if attempt.reads else 'write'}_{status.value}", now - attempt.sent)
+    if facts := state.tally.line(now):
+        yield ev.Say("work", facts)
     if attempt.began or status is Status.OK:
         request.closed = True
     if attempt.reads and status in MAY_HAVE_RUN:
