Ask the reader that comes first for its load before a request goes to it

A router knew a reader by its own waits alone.

The module now emits a probe where they are allowed, waits 60 ms at most, and weighs the reported tokens as the reader's wait. The conductor fetches /stats for it.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -37,7 +37,9 @@
     def on_platform(self) -> tuple[platform.Platform, Discovery]:
         """Put the platform's front and its discovery together."""
         config = self.config
-        runtime = Runtime(config, self.pool, platform.hold_path)
+        runtime = Runtime(
+            config, self.pool, platform.hold_path, platform.STATS, platform.read_report
+        )
         watch = Discovery(self.pool, "{}:{}".format(*config.discovery), platform.read_list, runtime.feed)
         if config.known.get("endpoints"):
             try:
--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -95,7 +95,17 @@
     whole: bool
 
 
-Event = Asked | Left | Began | Ended | HoldAnswered | Due | Listed
+@dataclass(slots=True, frozen=True)
+class Loaded:
+    """What came of a probe: the load report, where one came in time."""
+
+    server: int
+    status: Status
+    elapsed: timedelta
+    load: dict[str, float]
+
+
+Event = Asked | Left | Began | Ended | HoldAnswered | Due | Listed | Loaded
 
 
 # --- effects
@@ -139,6 +149,14 @@
     wait: timedelta = ZERO
 
 
+@dataclass(slots=True, frozen=True)
+class AskLoad:
+    """Ask an endpoint for its load; `server` is its number."""
+
+    server: int
+    endpoint: Endpoint
+
+
 @dataclass(slots=True, frozen=True)
 class Refuse:
     """Final answer: refused, trying again is harmless, after a pause."""
@@ -173,4 +191,4 @@
     facts: dict[str, object]
 
 
-Effect = Forward | Abandon | AskHold | LetGo | Refuse | Fail | Wake | Say
+Effect = Forward | Abandon | AskHold | LetGo | AskLoad | Refuse | Fail | Wake | Say
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -224,9 +224,16 @@
     yield from decide(state, now, api.Fleet(entries, event.whole))
 
 
+def on_loaded(state: Conductor, now: timedelta, event: ev.Loaded) -> Iterator[ev.Effect]:
+    """Tell the module what came of a probe."""
+    state.tally.add(f"probe_{event.status.value}", event.elapsed)
+    yield from decide(state, now, api.Probed(event.server, event.status, to_ns(event.elapsed), event.load))
+
+
 HANDLERS: dict[type, Callable[..., Iterable[ev.Effect]]] = {
     ev.Asked: on_asked, ev.Left: on_left, ev.Began: on_began, ev.Ended: on_ended,
     ev.HoldAnswered: on_hold_answered, ev.Due: on_due, ev.Listed: on_listed,
+    ev.Loaded: on_loaded,
 }
 
 
@@ -266,6 +273,12 @@
     yield ev.AskHold(action.request, len(request.attempts) - 1, endpoint)
 
 
+def probe(state: Conductor, now: timedelta, action: api.Probe) -> Iterator[ev.Effect]:
+    """Ask for a load report."""
+    if endpoint := state.fleet.get(action.server):
+        yield ev.AskLoad(action.server, endpoint)
+
+
 def release(state: Conductor, now: timedelta, action: api.Release) -> Iterator[ev.Effect]:
     """Let go of what is held. A stream that has begun has let go of all by itself."""
     request = state.requests.get(action.request)
@@ -299,7 +312,8 @@
 
 
 ACTIONS: dict[type, Callable[..., Iterable[ev.Effect]]] = {
-    api.Hold: hold, api.Release: release, api.Cancel: cancel, api.Refuse: refuse, api.Fail: fail,
+    api.Hold: hold, api.Probe: probe, api.Release: release, api.Cancel: cancel, api.Refuse: refuse,
+    api.Fail: fail,
     api.SetTimer: lambda state, now, action: [ev.Wake(to_span(action.at), action.timer)],
     api.Log: lambda state, now, action: [ev.Say("module", {"text": action.text})],
 }
--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -33,6 +33,8 @@
 POINTS, PAIRED = 16, 0.5  # a reader's points on the ring, and their least share where few writers are near
 DRAWN_MIN = 10  # requests that are added to all when a prefix's part of them is worked out
 FORGET = 0.98  # what is left of the best read speed seen with each further read
+LOOKS, LOOK_WAIT = 3, 60 * MS  # readers asked for their load, and how long each is waited for
+FRESH = 400 * MS  # how long a report holds
 OTHER_CELL, OTHER_ZONE = 0.8, 1.2  # writer's memories that a move out of the cell weighs, out of the zone
 HOLDS = 4  # places asked for during a read
 LATE, OVER_LATE = 0.8, 0.4  # shares of the aim: the wait that turns away, and beyond a tenant's share
@@ -79,7 +81,8 @@
         self.handlers: dict[type, Callable[..., Job | None]] = {
             api.Fleet: self.on_fleet, api.Request: self.on_request, api.FirstToken: self.on_first,
             api.Place: self.on_place, api.Outcome: self.on_outcome, api.Gone: self.on_gone,
-            api.PeerMessage: self.on_peer, api.Timer: lambda event: self.timers.fire(event.timer),
+            api.PeerMessage: self.on_peer, api.Probed: self.on_probed,
+            api.Timer: lambda event: self.timers.fire(event.timer),
         }
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -352,9 +355,46 @@
         if job.local is not None and self.send(job, job.local, reads=False):
             return True
         job.local = None
-        read = self.send_first(job, self.readers(job), reads=True)
+        readers = self.readers(job)
+        if readers and self.look(job, readers[0]):
+            return True
+        read = self.send_first(job, readers, reads=True)
         return read or self.send_first(job, self.escape(job), reads=False)
 
+    def look(self, job: Job, server: Server) -> bool:
+        """Ask the reader that comes first for its load, and tell whether its report is waited for.
+
+        Guards against queues that other routers have filled unseen: of many, each meets a server too seldom
+        to know them by its own waits. May harm where reports lag behind by more than a queue lasts."""
+        if not self.settings.probes or self.reported(server):
+            return False
+        if server not in job.looked and len(job.looked) < LOOKS:
+            job.looked.append(server)
+            job.look_until = self.now + LOOK_WAIT
+            self.after(LOOK_WAIT, lambda: job)
+            if server.probed_at is None or self.now >= server.probed_at + FRESH:
+                server.probed_at = self.now
+                self.actions.append(api.Probe(server.entry.server))
+        return self.now < job.look_until
+
+    def known(self, server: Server) -> bool:
+        """Tell whether what new work waits there has shown of late."""
+        return self.now < server.lag_at + RATE_SPAN or self.reported(server)
+
+    def reported(self, server: Server) -> bool:
+        """Tell whether there is a report of a server that still holds."""
+        return server.load_at is not None and self.now < server.load_at + FRESH
+
+    def on_probed(self, event: api.Probed) -> None:
+        """Take a load report in, and go on with the requests that wait for it."""
+        if (server := self.servers.get(event.server)) is None:
+            return
+        server.probed_at = None
+        if event.status is Status.OK:
+            server.load, server.load_at = event.load, self.now
+        for job in [job for job in self.jobs.values() if server in job.looked and self.now < job.look_until]:
+            self.settle(job)
+
     def send_first(self, job: Job, servers: list[Server], reads: bool) -> bool:
         return any(self.send(job, server, reads and server.role is Role.READ) for server in servers)
 
@@ -429,7 +469,9 @@
 
         Repeats too, as nobody tells how old they are. Clients are told to stay away while the wait lasts."""
         parts = [[job.local]] if job.local else [self.usable((role,)) for role in (Role.READ, Role.WRITE)]
-        met = ([self.delay(s) for s in part if s.oldest or self.now < s.lag_at + RATE_SPAN] for part in parts)
+        if job.looked and job.local is None:
+            parts[0] = self.ahead(job)
+        met = ([self.delay(s) for s in part if s.oldest or self.known(s)] for part in parts)
         wait = sum(median(waits) for waits in met if waits) + self.crowding() ** HOLDS * job.aim
         tenant = job.request.tenant or ""
         asked = self.asked[tenant].count * self.settings.routers / (RATE_SPAN / SECOND)
@@ -439,6 +481,15 @@
         limit *= AGAIN if job.request.retry else 1
         return late > limit * job.aim
 
+    def ahead(self, job: Job) -> list[Server]:
+        """Give the readers whose reports tell how long a request would wait: the one that it would go to.
+
+        While others may still be asked there is none; once all asked have queues, they stand for the rest."""
+        first = self.readers(job)[:1]
+        if first and self.reported(first[0]):
+            return first
+        return job.looked if len(job.looked) >= LOOKS else []
+
     def crowding(self) -> float:
         """Give the share of the places asked for of late that no writer held; a few askings tell little.
 
@@ -472,6 +523,8 @@
     def delay(self, server: Server) -> int:
         """Guess how long new work waits at a server: as our oldest there does, or as the last one did."""
         waits = self.now - oldest.sent - self.reading_time(oldest.unread) if (oldest := server.oldest) else 0
+        if server.role is not Role.WRITE and self.reported(server):
+            return max(waits, self.reading_time(round(1000 * server.load.get("x1", 0))))
         fading = server.lag > 0 and 1 - (self.now - server.lag_at) / (server.lag + self.interval(server) / 3)
         return max(0, waits, round(server.lag * fading))
 
--- a/hoplane/decision/state.py
+++ b/hoplane/decision/state.py
@@ -86,6 +86,9 @@
     slow_until: int = 0
     full: dict[tuple[str | None, str], int] = field(default_factory=dict)  # until when, by tenant and class
     next_cold: int | None = None  # when it may have its next send while cold
+    load: dict[str, float] = field(default_factory=dict)  # its last report
+    load_at: int | None = None  # when that came
+    probed_at: int | None = None  # when it was asked for one that is still awaited
     kept_since: int = 0  # what it kept before this is gone
     prefixes: dict[str, Rate] = field(default_factory=dict)  # what it read of shared beginnings
 
@@ -94,6 +97,7 @@
         if entry.born > self.entry.born:
             self.next_cold, self.kept_since = None, now
             self.strikes = self.aside_until = self.slow_until = self.lag = 0
+            self.load_at = self.probed_at = None
             self.prefixes.clear()
             self.full.clear()
         self.entry, self.role = entry, role
@@ -243,6 +247,8 @@
     near: Server | None = None  # the reader that it was last sent to
     asked: list[Server] = field(default_factory=list)  # where a place was asked for during that read
     place: Server | None = None  # where one is held
+    looked: list[Server] = field(default_factory=list)  # readers asked for their load
+    look_until: int = 0  # how long the last of them is waited for
     cell: tuple[bool, ...] = ()
     first_at: int | None = None
     pause: int = 0  # how long its client should stay away if it is refused
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -19,7 +19,7 @@
 from hoplane.net.server import MARGIN, Relay, Server, StreamSink, problem, retry_after, target
 from hoplane.net.wire import Call, Verdict
 
-CHAT, READY = "/v1/chat/completions", "/health/ready"
+CHAT, READY, STATS = "/v1/chat/completions", "/health/ready", "/stats"
 ID, CLASS, SESSION = "X-Correlation-Id", "X-Service-Class", "X-Session-Key"
 LEFT_MS, FACTS, REPEAT = "X-Time-Left-Ms", "X-Facts", "X-Repeat"
 LOAD, NOT_RUN = "X-Backend-Load", "X-Unprocessed"
@@ -63,6 +63,11 @@
     return load
 
 
+def read_report(body: bytes) -> dict[str, float]:
+    """Translate the body that answers a probe."""
+    return read_load(body.decode("latin-1"))
+
+
 def read_asked(headers: Mapping[str, str], classes: Mapping[str, object]) -> Asked:
     """Translate a request's headers; a ValueError names what is wrong."""
     id, cls = headers.get(ID, ""), headers.get(CLASS, "")
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -27,6 +27,7 @@
 TAIL = 2048  # bytes kept of a stream's end, where usage and the load report stand
 RELEASE_TRY = timedelta(milliseconds=70)  # then another endpoint is asked as well
 UNHEARD = timedelta(milliseconds=500)  # an attempt given up after this casts doubt on kept connections
+PROBE_WAIT = timedelta(milliseconds=250)
 HOLD_WAIT = timedelta(seconds=1)
 SHORT_WAIT = timedelta(seconds=1)  # for the body of an answer that is no stream
 QUIET = timedelta(seconds=4.8)  # without an event: a client must not be left waiting for 5 s
@@ -37,6 +38,11 @@
     return "Transfer-Encoding" in answer.headers or "Content-Length" in answer.headers
 
 
+def no_report(body: bytes) -> dict[str, float]:
+    """Read no report: these endpoints give none."""
+    return {}
+
+
 def nowhere(id: str) -> None:
     """Give no path: these endpoints hold nothing."""
 
@@ -44,11 +50,14 @@
 class Runtime:
     """Holds the one conductor's state, its clock, its connections and what is out."""
 
-    def __init__(self, config: Config, pool: Pool, hold_path: Callable[[str], str | None] = nowhere) -> None:
+    def __init__(
+        self, config: Config, pool: Pool, hold_path: Callable[[str], str | None] = nowhere,
+        load_path: str = "", read_report: Callable[[bytes], dict[str, float]] = no_report,
+    ) -> None:
         self.config, self.pool, self.clock = config, pool, Clock()
         ledger = Ledger(config.ledger_most, config.ledger_keep)
         self.state = Conductor(config.settings, Router(config.settings, config.seed), ledger)
-        self.hold_path = hold_path
+        self.hold_path, self.load_path, self.read_report = hold_path, load_path, read_report
         self.loop = asyncio.get_running_loop()
         self.answers = Bodies(config.limits.bodies)
         self.exchanges: dict[str, Exchange] = {}
@@ -60,6 +69,7 @@
         self.effects = {
             ev.Forward: self.forward, ev.Abandon: self.abandon, ev.AskHold: self.ask_hold,
             ev.LetGo: self.let_go, ev.Refuse: self.refuse, ev.Fail: self.fail, ev.Wake: self.wake,
+            ev.AskLoad: lambda effect: self.spawn(self.probe(effect)),
             ev.Say: lambda effect: log.say(effect.event, **effect.facts),
         }
 
@@ -286,6 +296,16 @@
         finally:
             self.feed(ev.HoldAnswered(effect.id, effect.attempt, held))
 
+    async def probe(self, effect: ev.AskLoad) -> None:
+        """Fetch an endpoint's load report; one that takes too long is worth no more."""
+        begun = self.loop.time()
+        answer = await self.pool.get(effect.endpoint.address, self.load_path, PROBE_WAIT)
+        status, load = Status.TIMEOUT, {}
+        if answer is not None:
+            status = Status.OK if answer[0] == 200 else Status.ERROR
+            load = self.read_report(answer[1]) if status is Status.OK else {}
+        self.feed(ev.Loaded(effect.server, status, timedelta(seconds=self.loop.time() - begun), load))
+
     async def release(self, effect: ev.LetGo) -> None:
         """Call endpoint after endpoint until one has taken the release or its time is over."""
         path = self.hold_path(effect.id)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -217,3 +217,19 @@
     assert (facts["read_miss_ms"], facts["first_token_ms"], facts["first_token_most_ms"]) == (10, 30, 30)
     core.ask("next", after=SECOND)
     assert not core.of(ev.Say), "the next line comes an interval later"
+
+
+def test_a_probe_goes_to_its_endpoint_and_its_report_to_the_module():
+    core = Core()
+    seen, handle = [], core.state.router.handle
+    number = core.state.number("r")
+
+    def decide(now, event):
+        seen.append(event)
+        return [api.Probe(number), api.Probe(7)] if isinstance(event, api.Timer) else handle(now, event)
+
+    core.state.router.handle = decide
+    core.do(ev.Due(1))
+    assert [(each.server, each.endpoint.name) for each in core.of(ev.AskLoad)] == [(number, "r")]
+    core.do(ev.Loaded(number, Status.OK, 3 * MS, {"x1": 2.5}))
+    assert seen[-1] == api.Probed(number, Status.OK, 3_000_000, {"x1": 2.5})
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -517,3 +517,56 @@
     other.do(api.PeerMessage(0, one.of(api.Tell)[0].data))
     other.ask()
     assert other.sent() == [READER_A + READER_B - reader]
+
+
+def look(desk, status=Status.OK, after=3 * MS, **load):
+    """Answer the one probe that is out and give the server that was probed."""
+    (probe,) = desk.of(api.Probe)
+    desk.do(api.Probed(probe.server, status, after, load), after)
+    return probe.server
+
+
+def learnt(**changes):
+    """Give a desk whose router knows how fast readers read."""
+    desk = Desk(fleet=MANY_READERS, probes=True, **changes)
+    desk.ask("first")
+    reader = look(desk, x1=0.0)
+    assert desk.sent() == [reader]
+    desk.outcome(Status.MISS, reader, "first", after=100 * MS)  # 2000 tokens: 20,000 a second
+    desk.leave("first")
+    desk.now += S
+    return desk
+
+
+def test_a_queue_that_others_filled_sends_a_request_on_along_the_ring():
+    desk = learnt()
+    desk.ask("r")
+    assert desk.sent() == [], "the report of its home comes first"
+    home = look(desk, x1=12.0)  # 0.6 s of reading, none of it ours
+    assert desk.sent() == []
+    next_one = look(desk, x1=0.5)
+    assert next_one != home and desk.sent() == [next_one]
+    desk.ask("r2", after=100 * MS, session="r")
+    assert desk.sent() == [next_one] and not desk.of(api.Probe), "the reports still hold"
+
+
+def test_a_request_is_refused_at_once_where_reported_queues_make_it_late():
+    desk = learnt()
+    desk.ask("r")
+    for _ in range(3):
+        look(desk, x1=40.0)
+    (refuse,) = desk.of(api.Refuse)
+    assert desk.sent() == [] and refuse.request == "r"
+
+
+def test_a_report_that_does_not_come_holds_a_request_back_for_a_moment_only():
+    desk = learnt()
+    desk.ask("r")
+    start = desk.now
+    assert any(isinstance(each, api.Send) for each in desk.run_timers(start + 61 * MS))
+
+
+def test_no_report_is_asked_for_where_probes_are_not_allowed():
+    desk = Desk(fleet=MANY_READERS)
+    desk.ask("r")
+    assert desk.sent() and not desk.of(api.Probe)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,6 +9,7 @@
     DONE,
     EVENT,
     FACTS,
+    SETTINGS,
     STREAM,
     USAGE,
     Discovery,
@@ -354,3 +355,49 @@
             assert peak < 96 * 1024, "kilobytes, at the most that it ever held"
             assert await program.stop() == 0
     run(test())
+
+
+def test_a_reader_is_asked_for_its_load_before_a_request_goes_to_it(tmp_path):
+    async def play(call, writer):
+        if call[0].startswith("GET /stats"):
+            writer.write(message("HTTP/1.1 200 OK", b"inflight=7,queue=2,x1=0.5"))
+        elif call[0].startswith("POST /v1/chat"):
+            writer.write(message("HTTP/1.1 202 Accepted", b'{"cached_tokens":0}'))
+        else:
+            writer.write(message("HTTP/1.1 204 No Content"))
+
+    async def answer(call, writer):
+        if call[0].startswith("POST /v1/chat"):
+            writer.write(STREAM + chunk(EVENT) + chunk(DONE) + b"0\r\n\r\n")
+        else:
+            writer.write(message("HTTP/1.1 409 Conflict"))
+
+    async def test():
+        settings = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "probes": True}}
+        async with Server(play) as reader, Server(answer) as writer:
+            entries = [entry("r1", reader.address, "prefill"), entry("w1", writer.address, "decode")]
+            async with platform(tmp_path, entries, settings=settings) as program:
+                got = await program.ask(chat())
+                assert got[0] == "HTTP/1.1 200 OK"
+                assert [call[0].split()[1] for call in reader.calls[:2]] == ["/stats", "/v1/chat/completions"]
+                assert not await program.faults()
+    asyncio.run(test())
+
+
+def test_an_endpoint_that_gives_no_report_still_gets_its_work(tmp_path):
+    async def play(call, writer):
+        if call[0].startswith("GET /stats"):
+            await asyncio.sleep(60)
+        elif call[0].startswith("POST /v1/chat"):
+            writer.write(message("HTTP/1.1 202 Accepted", b'{"cached_tokens":0}'))
+
+    async def test():
+        settings = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "probes": True}}
+        async with Server(play) as reader, Server(play) as writer:
+            entries = [entry("r1", reader.address, "prefill"), entry("w1", writer.address, "decode")]
+            async with platform(tmp_path, entries, settings=settings) as program:
+                asked = asyncio.ensure_future(program.ask(chat()))
+                await reader.wait_for("POST /v1/chat")
+                asked.cancel()
+                assert not await program.faults()
+    asyncio.run(test())
