Test SIGHUP up to the end without reaping the program in between

Process.send_signal() polls first, which may take the exit status before the loop's watcher does; the watcher then reports 255. The signal is sent as before.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """The program on the platform's protocol, as clients, endpoints and discovery see it."""
 
 import asyncio
+import os
 import signal
 from contextlib import asynccontextmanager, suppress
 
@@ -329,7 +330,8 @@
             await program.line("reloaded")
             assert (await within(read_message(reader)))[0].split()[1] == "503"
             while program.process.returncode is None:  # up to the very end
-                program.process.send_signal(signal.SIGHUP)
+                with suppress(ProcessLookupError):
+                    os.kill(program.process.pid, signal.SIGHUP)  # send_signal() would reap it: status 255
                 await asyncio.sleep(0)
                 with suppress(TimeoutError):
                     await asyncio.wait_for(asyncio.shield(program.process.wait()), 0.002)
