--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -33,9 +33,8 @@
 POINTS, PAIRED = 16, 0.5  # a reader's points on the ring, and their least share where few writers are near
 DRAWN_MIN = 10  # requests that are added to all when a prefix's part of them is worked out
 FORGET = 0.98  # what is left of the best read speed seen with each further read
-LOOKS, LOOK_WAIT = 4, 60 * MS  # readers asked for their load, and how long each is waited for
-FRESH = 400 * MS  # how long a report holds, and that none came in time
-MUTE = 500 * MS  # the wait taken for a server whose report does not come in time
+LOOKS, LOOK_WAIT = 3, 60 * MS  # readers asked for their load, and how long each is waited for
+FRESH = 400 * MS  # how long a report holds
 OTHER_CELL, OTHER_ZONE = 0.8, 1.2  # writer's memories that a move out of the cell weighs, out of the zone
 HOLDS = 4  # places asked for during a read
 LATE, OVER_LATE = 0.8, 0.4  # shares of the aim: the wait that turns away, and beyond a tenant's share
@@ -380,24 +379,17 @@
 
     def known(self, server: Server) -> bool:
         """Tell whether what new work waits there has shown of late."""
-        return self.now < server.lag_at + RATE_SPAN or self.reported(server) or self.mute(server)
+        return self.now < server.lag_at + RATE_SPAN or self.reported(server)
 
     def reported(self, server: Server) -> bool:
         """Tell whether there is a report of a server that still holds."""
         return server.load_at is not None and self.now < server.load_at + FRESH
 
-    def mute(self, server: Server) -> bool:
-        """Tell whether a server was asked for its load and has not told it for a while.
-
-        Guards against taking no report for no queue: a reader of long prompts answers between its steps."""
-        if server.probed_at is None or self.reported(server):
-            return False
-        return LOOK_WAIT <= self.now - server.probed_at < LOOK_WAIT + FRESH
-
     def on_probed(self, event: api.Probed) -> None:
         """Take a load report in, and go on with the requests that wait for it."""
         if (server := self.servers.get(event.server)) is None:
             return
+        server.probed_at = None
         if event.status is Status.OK:
             server.load, server.load_at = event.load, self.now
         for job in [job for job in self.jobs.values() if server in job.looked and self.now < job.look_until]:
@@ -526,7 +518,6 @@
             return []
         size, most = job.request.prompt / (self.prompts.value or 1), {Role.WRITE: SHORT, Role.BOTH: 1.0}
         fit = [s for s in self.writers(job) if size <= most[s.role] or not self.live(READERS)]
-        fit = [s for s in fit if s.role is Role.WRITE or self.reported(s) or not self.settings.probes]
         return [s for s in fit if not s.waiting and self.delay(s) <= SPILL * job.cls.aim]
 
     def delay(self, server: Server) -> int:
@@ -534,8 +525,6 @@
         waits = self.now - oldest.sent - self.reading_time(oldest.unread) if (oldest := server.oldest) else 0
         if server.role is not Role.WRITE and self.reported(server):
             return max(waits, self.reading_time(round(1000 * server.load.get("x1", 0))))
-        if self.mute(server):
-            return max(waits, MUTE)
         fading = server.lag > 0 and 1 - (self.now - server.lag_at) / (server.lag + self.interval(server) / 3)
         return max(0, waits, round(server.lag * fading))
 
@@ -596,7 +585,7 @@
             ring.sort(key=lambda s: s.entry.server != job.row.reader)
         slack = SPILL * job.cls.aim
         bound = max(slack / SECOND * self.speed / self.settings.routers, self.prompts.value or 0)
-        room = [s for s in ring if s.waiting <= bound and self.delay(s) <= slack and not self.mute(s)]
+        room = [s for s in ring if s.waiting <= bound and self.delay(s) <= slack]
         past = (s for s in ring if s not in room)
         ends = {s: self.delay(s) + self.reading_time(s.waiting + self.unread(job, s)) for s in past}
         failed = {attempt.server for attempt in job.attempts if attempt.failed}
--- a/hoplane/decision/state.py
+++ b/hoplane/decision/state.py
@@ -88,7 +88,7 @@
     next_cold: int | None = None  # when it may have its next send while cold
     load: dict[str, float] = field(default_factory=dict)  # its last report
     load_at: int | None = None  # when that came
-    probed_at: int | None = None  # when it was asked for one last
+    probed_at: int | None = None  # when it was asked for one that is still awaited
     kept_since: int = 0  # what it kept before this is gone
     prefixes: dict[str, Rate] = field(default_factory=dict)  # what it read of shared beginnings
 
