Leave a silent call to discovery in time, then ask for the whole list

`discovery.py` waited PATIENCE = 6.5 s for every answer, a whole list at the start included, so one silent or cut-off call alone was over that; and after it the watch went on from the old index, past what it had swallowed. The calls also took their sockets from the requests' share, and failed with "no socket is left" when it was used up.

A watch now waits 2.5 s and gets 1.2 s more for its answer; a whole list gets 1.2 s, as an agent answers at once. A failed call is followed by a call for the whole list. Discovery has sockets of its own.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -19,7 +19,7 @@
 from hoplane.fronts import kserve, platform
 from hoplane.net import signals
 from hoplane.net.discovery import Discovery
-from hoplane.net.pool import Pool
+from hoplane.net.pool import RESERVED, Pool
 from hoplane.net.runtime import Runtime
 
 TIDY = timedelta(seconds=10)  # between collections of garbage, which take 5 to 8 ms
@@ -30,7 +30,8 @@
 
     def __init__(self, config: Config, again: Callable[[], Config]) -> None:
         self.config, self.again = config, again
-        self.pool = Pool(config)
+        self.pool = Pool(config, config.limits.upstreams)
+        self.pools = [self.pool]
         self.front, self.watch = self.beside() if config.files else self.on_platform()
         self.watching = asyncio.create_task(self.watch.watch())
 
@@ -40,7 +41,9 @@
         runtime = Runtime(
             config, self.pool, platform.hold_path, platform.STATS, platform.read_report
         )
-        watch = Discovery(self.pool, "{}:{}".format(*config.discovery), platform.read_list, runtime.feed)
+        # Guards against requests that take the last descriptor, so that no list comes any more.
+        self.pools.append(agent := Pool(config, RESERVED))
+        watch = Discovery(agent, "{}:{}".format(*config.discovery), platform.read_list, runtime.feed)
         if config.known.get("endpoints"):
             try:
                 watch.take({**config.known, "snapshot": True})
@@ -101,7 +104,8 @@
         signals.ignore_reload()
         tidying.cancel()
         self.watching.cancel()
-        await self.pool.close()
+        for pool in self.pools:
+            await pool.close()
         log.say("stopped")
 
 
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -47,7 +47,7 @@
             )
             for each in answer["endpoints"]
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
         raise ValueError(f"the list is malformed: {error!r}") from None
     return Listed(endpoints, bool(answer.get("snapshot")))
 
--- a/hoplane/net/discovery.py
+++ b/hoplane/net/discovery.py
@@ -14,8 +14,8 @@
 from hoplane.core.events import Listed
 from hoplane.net.pool import Pool
 
-WAIT = timedelta(seconds=5)  # that discovery may hold a watch open
-PATIENCE = WAIT + timedelta(seconds=1.5)  # that we wait for its answer, as a cut connection gives no sign
+WAIT = timedelta(seconds=2.5)  # that discovery may hold a watch open
+CALL = timedelta(seconds=1.2)  # for an answer beyond that wait, connecting included: an agent answers at once
 PAUSE = timedelta(milliseconds=60)  # after a failed call: the next must come within 200 ms
 
 
@@ -51,11 +51,14 @@
     async def watch(self) -> None:
         """Watch until cancelled."""
         while True:
-            path = "/registry/instances"
+            path, patience = "/registry/instances", CALL
             if self.index is not None:
                 path += f"?since={self.index}&timeout_ms={WAIT // timedelta(milliseconds=1)}"
+                patience += WAIT
             try:
-                async with asyncio.timeout(PATIENCE.total_seconds()):
+                # Guards against calls that fall silent or are cut off, at whatever point: a change counts as
+                # told 6 s after discovery had it, and the next call has to have it by then.
+                async with asyncio.timeout(patience.total_seconds()):
                     async with self.pool.request("GET", self.address, path) as answer:
                         body = await answer.read()
                 if answer.status != 200:
@@ -65,6 +68,7 @@
                 if not self.failing:
                     log.say("discovery_lost", error=repr(error))
                 self.failing = True
+                self.index = None  # guards against changes that the broken watch has swallowed
                 await asyncio.sleep(PAUSE.total_seconds())
                 continue
             if self.failing:
--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -16,14 +16,15 @@
 from hoplane.net.aio import Connector, never_resend
 
 READ_AHEAD = 16 * 1024  # bytes taken from an endpoint before a slow client has taken them
+RESERVED = 4  # sockets that only discovery uses: one for its watch, others while broken ones end
 IDLE_SHARE = 0.5  # of the endpoints' idle time: what is written to a connection later may end as a reset
 
 
 class Pool:
     """A client session that never waits for a connection, resends nothing and counts its sockets."""
 
-    def __init__(self, config: Config) -> None:
-        self.most, self.sockets = config.limits.upstreams, WeakSet()
+    def __init__(self, config: Config, most: int) -> None:
+        self.most, self.sockets = most, WeakSet()
         # Guards against aiohttp's total of 100, past which attempts would wait unseen: we count ourselves.
         self.connector = Connector(
             limit=0,
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -27,7 +27,7 @@
 def start(reader, writer, **changes):
     told = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": SETTINGS, **changes}
     config = platform(told)
-    runtime = Runtime(config, Pool(config), hold_path)
+    runtime = Runtime(config, Pool(config, config.limits.upstreams), hold_path)
     entries = [entry("r1", reader.address, "prefill"), entry("w1", writer.address, "decode")]
     runtime.feed(read_list({"index": 1, "snapshot": True, "endpoints": entries}))
     return runtime
