See a client's end while its next bytes wait, and close no connection over unread bytes

Seen by tests with stand-in clients: with sixty requests sent behind one that is open, aiohttp pauses reading at 32, so the client's end is not seen and its attempt stays out (`_pause_reading_for_buffer` in aiohttp's web_protocol). At SIGTERM resting connections were closed at once (`drop_idle`, `force_close`), which resets those that a request crosses, and a head that had come in part was cut off (`idle` knew whole heads alone).

What comes while aiohttp wants nothing more is now put by, within bounds for a connection and for all, so the end is seen; an end with a request open ends the connection at once. A connection that we end is shut for sending, read until the client ends too, and nothing on it is taken. A head that has begun to come is awaited and served.

Ruled out: one large body behind does not pause.

--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -181,28 +181,80 @@
 class Caller(RequestHandler):
     """A client's connection. What cannot be read is answered once, and nothing behind it is taken.
 
-    Guards against an answer lost to a reset: a client that is still sending when the connection closes
-    never reads it. So its end is awaited, and what it sends meanwhile is thrown away unread."""
+    Guards against bytes lost to a reset: a connection closed over what is unread takes the answer with it.
+    So we end our sending, await the client's end, and throw away unread what it sends meanwhile."""
 
-    __slots__ = ("since", "deaf", "served")
+    __slots__ = ("since", "deaf", "served", "part_since", "holding", "ahead", "ahead_size", "ending")
 
     def __init__(self, manager: Door, **settings: object) -> None:
         super().__init__(manager, **settings)
         self.since = self._loop.time()
-        self.deaf = self.served = False
+        self.deaf = self.served = self.holding = False
+        self.part_since: float | None = None  # when the first bytes of a head came that is not whole yet
+        self.ahead: list[bytes] = []  # what came while aiohttp wants nothing more
+        self.ahead_size = 0
+        self.ending: asyncio.TimerHandle | None = None
 
     @property
     def idle(self) -> bool:
         """Tell whether no request is open on it."""
         return self._current_request is None and not self._messages
 
+    @property
+    def resting(self) -> bool:
+        """Tell whether nothing of a request has come that waits for its answer."""
+        return self.idle and self.part_since is None
+
     def data_received(self, data: bytes) -> None:
         if self.deaf:
             return
+        if self.holding and data:
+            self.put_by(data)
+            return
+        heads = self._request_count
         super().data_received(data)
+        if self._request_count > heads:
+            self.part_since = None
+        elif data and self.idle and self.part_since is None:
+            self.part_since = self._loop.time()
         if self._messages and isinstance(self._messages[-1][0], _ErrInfo):
             self.deaf = True  # guards against each further piece counting as one more bad request
 
+    def put_by(self, data: bytes) -> None:
+        """Keep what comes ahead of its time; past the bounds reading stops after all."""
+        self.ahead.append(data)
+        self.ahead_size += len(data)
+        self._manager.ahead_left -= len(data)
+        if self.ahead_size > 2 * self._manager.body_most or self._manager.ahead_left < 0:
+            super()._pause_transport_reading()
+
+    def _pause_transport_reading(self) -> None:
+        # Guards against a client's end that is not seen while bytes of its next request wait unread.
+        self.holding = True
+
+    def _resume_transport_reading(self) -> None:
+        super()._resume_transport_reading()
+        if self.holding:
+            self.holding = False
+            self._loop.call_soon(self.take_up)
+
+    def take_up(self) -> None:
+        """Go on with what was put by, until aiohttp has enough again."""
+        while self.ahead and not self.holding:
+            data = self.ahead.pop(0)
+            self.give_back(len(data))
+            self.data_received(data)
+
+    def give_back(self, size: int) -> None:
+        self.ahead_size -= size
+        if self._manager is not None:
+            self._manager.ahead_left += size
+
+    def eof_received(self) -> None:
+        # Guards against a close that waits for unsent bytes, while work goes on for a client that has gone.
+        if not self.idle and self.transport is not None:
+            self.transport.abort()
+
     def handle_error(self, request, status=500, exc=None, message=None) -> web.StreamResponse:
         """Word an error as our front does, with no line for each in the log."""
         if request.writer.output_size > 0:
@@ -213,23 +265,45 @@
     async def finish_response(self, request, resp, start_time):
         resp, reset = await super().finish_response(request, resp, start_time)
         self.since, self.served = self._loop.time(), True
-        unread = self.deaf or not request.content.is_eof() or resp.status >= 400
-        if not reset and not resp.keep_alive and unread and self.transport is not None and self._manager:
-            await self.linger()
+        if self._manager and self._manager.winding_up:
+            resp.force_close()
+        if not reset and not resp.keep_alive and self.transport is not None and self._manager:
+            self.see_off()
+            await asyncio.sleep(LINGER.total_seconds())
         return resp, reset
 
-    async def linger(self) -> None:
+    def see_off(self) -> None:
         """End our sending and wait for the client's end; its connection's loss ends the wait."""
+        if self.deaf and self.ending or self.transport is None or self._manager is None:
+            return
         self.deaf = True
-        door = self._manager  # which aiohttp forgets when the connection is lost
-        door.lingering[self] = None
-        try:
-            self._resume_transport_reading()
-            with suppress(OSError, RuntimeError):
-                self.transport.write_eof()
-            await asyncio.sleep(LINGER.total_seconds())
-        finally:
-            door.lingering.pop(self, None)
+        self._manager.lingering[self] = None
+        self._resume_transport_reading()
+        with suppress(OSError, RuntimeError):
+            self.transport.write_eof()
+        self.ending = self._loop.call_later(LINGER.total_seconds(), self.force_close)
+
+    def _process_keepalive(self) -> None:
+        """End a connection that rests or is silent for long, unless a head is on its way."""
+        self._keepalive_handle = None
+        if self._force_close or self.deaf or not self.idle:
+            return
+        due = self._next_keepalive_close_time
+        if self.part_since is not None:
+            due = max(due, self.part_since + self._keepalive_timeout) if self.served else due
+        if self._loop.time() < due:
+            self._keepalive_handle = self._loop.call_at(due, self._process_keepalive)
+        else:
+            self.see_off()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        if self.ending is not None:
+            self.ending.cancel()
+        if self._manager is not None:  # which aiohttp forgets when the connection is lost
+            self.give_back(self.ahead_size)
+            self._manager.lingering.pop(self, None)
+        self.ahead.clear()
+        super().connection_lost(exc)
 
 
 class TurnedAway(asyncio.Protocol):
@@ -264,7 +338,8 @@
     """Takes client connections up to a bound; idle ones give way to new ones."""
 
     def __init__(
-        self, handler: Callable, problem: Callable, most: int, turned_most: int, body_most: int
+        self, handler: Callable, problem: Callable, most: int, turned_most: int, body_most: int,
+        ahead_most: int,
     ) -> None:
         # Guards against handlers that go on when their client has left, inflating bodies, silent and idle
         # connections, and aiohttp's own wait for the rest of a body, which holds the answer's end back.
@@ -274,6 +349,8 @@
             keepalive_timeout=SILENT.total_seconds(), lingering_time=0,
         )
         self.problem, self.most, self.turned_most, self.body_most = problem, most, turned_most, body_most
+        self.ahead_left = ahead_most  # bytes that may be kept for all connections together
+        self.winding_up = False
         self.lingering: OrderedDict[Caller, None] = OrderedDict()
         self.turned_away: OrderedDict[TurnedAway, None] = OrderedDict()
 
@@ -299,7 +376,7 @@
         idle = [each for each in self._connections if each.idle and (each.served or each.since < ripe)]
         if not idle:
             return False
-        min(idle, key=lambda each: (each.served, each.since)).force_close()
+        min(idle, key=lambda each: (each.served, not each.resting, each.since)).force_close()
         return True
 
     def asked_at(self, request: web.BaseRequest) -> float:
@@ -307,17 +384,17 @@
         caller = request.protocol
         return self._loop.time() if caller.served else caller.since
 
-    def drop_idle(self) -> None:
-        """Close the connections that carry no request."""
-        for connection in self.connections:
-            if connection.idle:
-                # Guards against idle connections that stay open: aiohttp's close() ends their task alone.
-                connection.force_close()
+    @property
+    def busy(self) -> bool:
+        """Tell whether a connection has a request open, or a part of one."""
+        return any(not (each.resting or each.deaf) for each in self._connections)
 
     def wind_up(self) -> None:
-        """Close what is idle, and let the other connections end with their answers."""
-        self.drop_idle()
-        self.pre_shutdown()
+        """End the connections that rest; the others end with their answers."""
+        self.winding_up = True
+        for connection in self.connections:
+            if connection.resting:
+                connection.see_off()
 
 
 def listening(host: str, port: int) -> socket.socket:
--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -18,6 +18,7 @@
 MARGIN = timedelta(milliseconds=20)  # of a client's patience, for the answer's way and a busy loop
 RETURN = timedelta(milliseconds=200)  # the least that a refused client is asked to stay away
 LAST = timedelta(seconds=2)  # for the last bytes to leave
+AHEAD_PART = 4  # of the memory for bodies, which requests sent ahead of their turn may take
 ACCEPT_MOST, BACKLOG = 16, 512  # connections accepted in a row, and those that may wait for it
 
 EVENT_MOST = 64 * 1024  # bytes of one event
@@ -137,7 +138,8 @@
         self.stopping = False
         self.open = 0
         self.door = Door(
-            self.handle, problem, config.limits.clients, config.limits.turned_away, BODY_MOST
+            self.handle, problem, config.limits.clients, config.limits.turned_away, BODY_MOST,
+            config.limits.bodies // AHEAD_PART,
         )
         self.listener: asyncio.Server | None = None
 
@@ -197,7 +199,7 @@
         await asyncio.sleep(LINGER.total_seconds())
         self.listener.close()
         self.door.wind_up()
-        while self.open:
+        while self.open or self.door.busy:
             await asyncio.sleep(0.005)
         end = asyncio.get_running_loop().time() + LAST.total_seconds()
         while self.door.connections and asyncio.get_running_loop().time() < end:
--- a/tests/test_aio.py
+++ b/tests/test_aio.py
@@ -30,7 +30,7 @@
         session = aiohttp.ClientSession(connector=connector)
         assert session._retry_connection is True
         never_resend(session)
-        door = Door(None, None, 5, 5, 5)
+        door = Door(None, None, 5, 5, 5, 5)
         assert door._connections == {} and door.caller().idle
         await session.close()
     asyncio.run(test())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,7 @@
 import os
 import signal
 from contextlib import asynccontextmanager, suppress
+from socket import SO_ERROR, SOL_SOCKET
 
 import pytest
 from standins import (
@@ -403,3 +404,77 @@
                 asked.cancel()
                 assert not await program.faults()
     asyncio.run(test())
+
+
+@pytest.mark.parametrize("behind", [
+    [chat(f"more{n}") for n in range(60)],
+    [chat(f"large{n}", body=b'{"a":"' + b"a" * 250_000 + b'"}') for n in range(2)],
+], ids=["many requests", "large bodies"])
+def test_a_client_that_leaves_is_noticed_though_bytes_of_its_wait_unread(tmp_path, behind):
+    async def test():
+        async with desk(tmp_path, read=never_read, write=hang) as program:
+            _, client = await program.connect()
+            client.write(chat("r1"))
+            await program.reader.wait_for("POST")
+            client.write(b"".join(behind))
+            await within(client.drain())
+            await asyncio.sleep(0.2)
+            client.close()
+            await within(program.reader.closed.get(), 1)
+            await asyncio.sleep(0.3)
+            posts = program.reader.named("POST /v1/chat") + program.writer.named("POST /v1/chat")
+            assert {call[1]["x-correlation-id"] for call in posts} == {"r1"}, "nothing more is sent for it"
+            assert not await program.faults()
+    run(test())
+
+
+def test_sigterm_ends_resting_connections_without_a_reset_and_serves_what_comes_in_pieces(tmp_path):
+    async def test():
+        async with desk(tmp_path) as program:
+            rests, resting = await program.connect()
+            resting.write(chat("first"))
+            assert (await within(read_message(rests)))[0].endswith("200 OK")
+            pieces, slow = await program.connect()
+            slow.write(chat("pieces")[:40])
+            await asyncio.sleep(0.1)
+            program.process.send_signal(signal.SIGTERM)
+            assert await within(rests.read()) == b"", "its end is told"
+            for data in (chat("crossed"), b"more"):  # in the very moment of the close
+                resting.write(data)
+                await asyncio.sleep(0.1)
+            slow.write(chat("pieces")[40:])
+            answer = await within(read_message(pieces))
+            assert answer[0].endswith("200 OK") and answer[1]["connection"] == "close"
+            kept = resting.transport.get_extra_info("socket")
+            assert kept.getsockopt(SOL_SOCKET, SO_ERROR) == 0, "no reset"
+            resting.close()
+            slow.close()
+            assert await within(program.process.wait()) == 0
+            ids = [call[1]["x-correlation-id"] for call in program.reader.named("POST /v1/chat")]
+            assert ids == ["first", "pieces"], "what comes after the end is not taken"
+    run(test())
+
+
+def test_sigterm_passes_a_stream_on_to_its_end_though_its_client_sent_more(tmp_path):
+    begun, go_on = asyncio.Event(), asyncio.Event()
+
+    async def pauses(call, writer):
+        writer.write(STREAM + chunk(EVENT))
+        begun.set()
+        await go_on.wait()
+        writer.write(chunk(EVENT) * 200 + chunk(USAGE + DONE) + b"0\r\n\r\n")
+
+    async def test():
+        async with desk(tmp_path, write=pauses) as program:
+            answers, client = await program.connect()
+            client.write(chat("r1"))
+            await within(begun.wait())
+            program.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.8)
+            client.write(b"x" * 300_000)
+            go_on.set()
+            assert (await within(read_message(answers)))[2] == EVENT * 201 + USAGE + DONE
+            assert await within(answers.read()) == b"", "an end, not a reset"
+            client.close()
+            assert await within(program.process.wait()) == 0
+    run(test())
