Make room for each connection taken, not for several by closing the same one

In `Door.make_room` a connection that was closed stays in `_connections` until the loop comes round, so of 16 accepted in a row all took the place of the same one.

Ruled out: the share of the descriptors itself, which leaves 64 to spare. Test: tests/test_aio.py, which fails without the change.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -112,7 +112,7 @@
 async def serve(config: Config, again: Callable[[], Config]) -> None:
     """Serve to the end."""
     asyncio.get_running_loop().set_exception_handler(
-        lambda loop, told: log.say("loop_fault", text=told["message"], error=repr(told.get("exception")))
+        lambda loop, told: log.seldom("loop_fault", text=told["message"], error=repr(told.get("exception")))
     )
     await Conductor(config, again).serve()
 
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -373,7 +373,9 @@
             self.lingering.popitem(last=False)[0].force_close()
             return True
         ripe = self._loop.time() - FRESH.total_seconds()
-        idle = [each for each in self._connections if each.idle and (each.served or each.since < ripe)]
+        # One that is closed already leaves the table only once the loop comes round: it makes no room again.
+        open_ones = (each for each in self._connections if each.transport is not None)
+        idle = [each for each in open_ones if each.idle and (each.served or each.since < ripe)]
         if not idle:
             return False
         min(idle, key=lambda each: (each.served, not each.resting, each.since)).force_close()
--- a/tests/test_aio.py
+++ b/tests/test_aio.py
@@ -9,7 +9,7 @@
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 from standins import Server, message
 
-from hoplane.net.aio import Connector, Door, Peer, Spoilt, never_resend
+from hoplane.net.aio import FRESH, Caller, Connector, Door, Peer, Spoilt, TurnedAway, never_resend
 
 PINS = (Path(__file__).parent.parent / "requirements.txt").read_text().split()
 
@@ -64,3 +64,29 @@
                     assert await got.read() == b"x"
             assert connector.drop_idle() == 1 and not connector.broken
     asyncio.run(test())
+
+
+def test_each_connection_taken_over_the_bound_makes_another_one_close():
+    async def never(request):
+        raise AssertionError("no request comes")
+
+    class Wire:
+        def __init__(self):
+            self.closed = False
+
+        def close(self):
+            self.closed = True
+
+        def get_extra_info(self, name):
+            return None
+
+    async def test():
+        door, wires = Door(never, None, 3, 1, 5, 5), [Wire() for _ in range(3)]
+        for wire in wires:
+            caller = door()
+            caller.connection_made(wire)
+            caller.since -= 2 * FRESH.total_seconds()
+        taken = [door() for _ in range(4)]  # as many as the loop accepts in one go
+        assert [type(each) for each in taken] == [Caller] * 3 + [TurnedAway]
+        assert all(wire.closed for wire in wires)
+    asyncio.run(test())
