--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,6 +19,7 @@
     chat,
     chunk,
     entry,
+    free_port,
     message,
     platform,
     read_message,
@@ -478,3 +479,38 @@
             client.close()
             assert await within(program.process.wait()) == 0
     run(test())
+
+
+@pytest.mark.parametrize("silent", [True, False], ids=["silent", "refused"])
+def test_a_conductor_is_ready_and_serves_from_what_was_known_while_discovery_is_down(tmp_path, silent):
+    async def test():
+        async with Server(hang) as agent:
+            gone = agent.address if silent else f"127.0.0.1:{free_port()}"
+            async with desk(tmp_path, discovery=gone) as program:
+                answer = await program.ask(message("GET /health/ready HTTP/1.1", Host="h"))
+                assert answer[0].endswith("200 OK")
+                assert (await program.ask(chat()))[0].endswith("200 OK")
+                await program.line("discovery_lost")
+                assert (await program.ask(chat("r2")))[0].endswith("200 OK")
+    run(test())
+
+
+def test_idle_clients_up_to_the_limit_with_discovery_down_leave_room_for_requests(tmp_path):
+    sockets = 96
+
+    async def test():
+        async with Server(hang) as agent:
+            limits = {"memory_mb": 192, "sockets": sockets}
+            async with desk(tmp_path, discovery=agent.address, limits=limits) as program:
+                idle = []
+                for _ in range(4):
+                    idle += await asyncio.gather(*(program.connect() for _ in range(60)))
+                    held = len(os.listdir(f"/proc/{program.process.pid}/fd"))
+                    assert held <= sockets
+                await asyncio.sleep(0.5)
+                for n in range(5):
+                    assert (await program.ask(chat(f"r{n}")))[0].endswith("200 OK")
+                for _, client in idle:
+                    client.close()
+                assert not await program.faults()
+    run(test())
