Hold no connection for idle whose request has been read and is about to be handled

At SIGTERM `wind_up` shuts what is idle; `idle` looked at aiohttp's queue and current request, and between taking a request from the queue and its handler's first step both are empty. Requests read and answers given are now counted instead.

Ruled out: bytes read after the shutdown, as `data_received` drops them (tested in tests/test_platform.py). Test: tests/test_aio.py steps the loop from the read to the handler and fails without the change.

--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -184,7 +184,8 @@
     Guards against bytes lost to a reset: a connection closed over what is unread takes the answer with it.
     So we end our sending, await the client's end, and throw away unread what it sends meanwhile."""
 
-    __slots__ = ("since", "deaf", "served", "part_since", "holding", "ahead", "ahead_size", "ending")
+    __slots__ = ("since", "deaf", "served", "part_since", "holding", "ahead", "ahead_size", "ending",
+                 "answered")
 
     def __init__(self, manager: Door, **settings: object) -> None:
         super().__init__(manager, **settings)
@@ -192,13 +193,15 @@
         self.deaf = self.served = self.holding = False
         self.part_since: float | None = None  # when the first bytes of a head came that is not whole yet
         self.ahead: list[bytes] = []  # what came while aiohttp wants nothing more
-        self.ahead_size = 0
+        self.ahead_size = self.answered = 0
         self.ending: asyncio.TimerHandle | None = None
 
     @property
     def idle(self) -> bool:
-        """Tell whether no request is open on it."""
-        return self._current_request is None and not self._messages
+        """Tell whether all requests that were read from it are answered.
+
+        Guards against one that aiohttp has taken from its queue and whose handler has yet to begin."""
+        return self._request_count == self.answered
 
     @property
     def resting(self) -> bool:
@@ -265,6 +268,7 @@
     async def finish_response(self, request, resp, start_time):
         resp, reset = await super().finish_response(request, resp, start_time)
         self.since, self.served = self._loop.time(), True
+        self.answered += 1
         if self._manager and self._manager.winding_up:
             resp.force_close()
         if not reset and not resp.keep_alive and self.transport is not None and self._manager:
--- a/tests/test_aio.py
+++ b/tests/test_aio.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import pytest
+from aiohttp import web
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 from standins import Server, message
@@ -19,7 +20,7 @@
 
 
 def test_the_private_parts_are_there():
-    assert {"_current_request", "_messages"} <= set(RequestHandler.__slots__)
+    assert {"_request_count", "_messages"} <= set(RequestHandler.__slots__)
     assert hasattr(RequestHandler, "_resume_transport_reading")
     assert _ErrInfo(400, ValueError(), "x").status == 400
     assert hasattr(ResponseHandler, "set_response_params") and hasattr(ResponseHandler, "feed_data")
@@ -90,3 +91,30 @@
         assert [type(each) for each in taken] == [Caller] * 3 + [TurnedAway]
         assert all(wire.closed for wire in wires)
     asyncio.run(test())
+
+
+def test_a_connection_with_a_request_is_at_no_moment_idle_until_its_answer():
+    async def test():
+        handled, answer = asyncio.Event(), asyncio.Event()
+
+        async def handle(request):
+            handled.set()
+            await answer.wait()
+            return web.Response(text="done")
+
+        door = Door(handle, None, 5, 5, 500, 500)
+        listener = await asyncio.get_running_loop().create_server(door, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        while not (callers := door.connections) or not callers[0]._request_count:
+            await asyncio.sleep(0)
+        while not handled.is_set():
+            assert not callers[0].idle, "read, and about to be handled"
+            await asyncio.sleep(0)
+        door.wind_up()
+        assert not callers[0].idle
+        answer.set()
+        assert (await asyncio.wait_for(reader.read(), 10)).endswith(b"done")
+        writer.close()
+        listener.close()
+    asyncio.run(test())
