Meet a flood of idle connections without a look at every connection

`make_room` looked at all 330 connections for each one taken. The table is in order of age, so the first silent one is the one to close.

Test: tests/test_aio.py.

--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -379,7 +379,13 @@
         ripe = self._loop.time() - FRESH.total_seconds()
         # One that is closed already leaves the table only once the loop comes round: it makes no room again.
         open_ones = (each for each in self._connections if each.transport is not None)
-        idle = [each for each in open_ones if each.idle and (each.served or each.since < ripe)]
+        idle = []
+        for each in open_ones:  # the oldest first, so that a flood of silent ones is seen at once
+            if each.resting and not each.served and each.since < ripe:
+                each.force_close()
+                return True
+            if each.idle and (each.served or each.since < ripe):
+                idle.append(each)
         if not idle:
             return False
         min(idle, key=lambda each: (each.served, not each.resting, each.since)).force_close()
--- a/tests/test_aio.py
+++ b/tests/test_aio.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from pathlib import Path
+from types import SimpleNamespace
 
 import aiohttp
 import pytest
@@ -93,6 +94,28 @@
     asyncio.run(test())
 
 
+def test_a_flood_is_met_without_a_look_at_every_connection(monkeypatch):
+    looked = []
+    resting = Caller.resting
+
+    def look(caller):
+        looked.append(caller)
+        return resting.fget(caller)
+
+    monkeypatch.setattr(Caller, "resting", property(look))
+
+    async def test():
+        door = Door(None, None, 50, 1, 5, 5)
+        for _ in range(50):
+            caller = Caller(door, loop=asyncio.get_running_loop())
+            caller.transport, caller.since = SimpleNamespace(close=lambda: None), 0.0
+            door._connections[caller] = None
+        oldest = next(iter(door._connections))
+        assert door.make_room() and oldest.transport is None
+        assert looked == [oldest]
+    asyncio.run(test())
+
+
 def test_a_connection_with_a_request_is_at_no_moment_idle_until_its_answer():
     async def test():
         handled, answer = asyncio.Event(), asyncio.Event()
