Ask for a release by turns in every zone, not down the list

Now the zones take turns, our own right after the likeliest one, and routers start at different places.

Ruled out: the wait before the release, which is 15 ms and the same where releases are heard. Test: tests/test_core.py, which fails without the change.

--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from datetime import timedelta
+from itertools import chain, zip_longest
 from zlib import crc32
 
 from hoplane.core import events as ev
@@ -331,14 +332,24 @@
 
 
 def let_go(state: Conductor, request: Request) -> ev.LetGo:
-    """Ask for a release: at the endpoints that had part in the request first, then at any other."""
+    """Ask for a release: at an endpoint that had part in the request first, then by turns in every zone.
+
+    Guards against a zone that is cut off: all that had part in a request may be in it, and so may all that
+    come first in the list."""
     numbers = [attempt.server for attempt in reversed(request.attempts)]
     if request.held_at is not None:
         numbers.append(request.held_at)
-    order = [n for n in dict.fromkeys([*numbers, *state.fleet]) if n in state.fleet]
+    fleet = list(state.fleet)
+    start = crc32(request.asked.id.encode()) % max(1, len(fleet))  # lest all routers ask the same one
+    order = [n for n in dict.fromkeys([*numbers, *fleet[start:], *fleet[:start]]) if n in state.fleet]
+    zones: dict[str | None, list[ev.Endpoint]] = {state.fleet[n].zone: [] for n in order[:1]}
+    zones.setdefault(state.settings.zone, [])
+    for endpoint in (state.fleet[n] for n in order):
+        zones.setdefault(endpoint.zone, []).append(endpoint)
+    turns = chain.from_iterable(zip_longest(*zones.values()))
     release_within = state.settings.release_within
     within = HELD if release_within is None else to_span(release_within)
-    endpoints = tuple(state.fleet[n] for n in order)
+    endpoints = tuple(endpoint for endpoint in turns if endpoint is not None)
     return ev.LetGo(request.asked.id, endpoints, within, SETTLE if request.cut else ev.ZERO)
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,5 +1,6 @@
 """The reducer alone: no sockets, no clock but the one that the tests pass in."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
@@ -96,6 +97,28 @@
     assert not core.state.requests
 
 
+def test_a_release_is_asked_in_each_zone_by_turns_though_all_of_the_request_was_in_one(core):
+    near, far = "here", "there"
+    settings = replace(SETTINGS, zone=near)
+    core.state = Conductor(settings, Router(settings, 1), Ledger(9, 10 * 60 * SECOND))
+    servers = [("r", "reader", far), ("w", "writer", far), ("w2", "writer", far)]
+    servers += [(f"s{n}", "writer", zone) for n, zone in enumerate([far] * 20 + [near] * 20)]
+    core.do(ev.Listed(tuple(replace(endpoint(name, kind), zone=zone) for name, kind, zone in servers), True))
+    seen = set()
+    for id in ("q", "q2", "q3"):
+        core.ask(id)
+        core.do(ev.Left(id))
+        core.do(ev.HoldAnswered(id, 0, None))
+        core.do(ev.Ended(id, 0, Status.CANCELLED), 10 * MS)
+        (let_go,) = core.of(ev.LetGo)
+        assert let_go.endpoints[0].name == "r", "the reader that may hold the state"
+        zones = [each.zone for each in let_go.endpoints[:6]]
+        assert zones == [far, near] * 3, "one that can be reached is soon asked, whichever zone is cut off"
+        assert len(set(let_go.endpoints)) == len(servers)
+        seen.add(let_go.endpoints[1].name)
+    assert len(seen) > 1, "not the same one by all"
+
+
 def test_a_place_held_after_the_end_is_let_go(core):
     core.ask()
     core.do(ev.Left("q"))
