--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -136,7 +136,8 @@
         return
     attempt = request.attempts[event.attempt]
     attempt.began = request.began = True
-    state.tally.add("first_token", now - attempt.sent)
+    read_before = any(each.reads for each in request.attempts[: event.attempt])
+    state.tally.add("first_token" if read_before else "first_token_unread", now - attempt.sent)
     yield from decide(state, now, api.FirstToken(
         event.id, event.attempt, attempt.server, to_ns(now - attempt.sent)
     ))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -242,6 +242,15 @@
     assert not core.of(ev.Say), "the next line comes an interval later"
 
 
+def test_the_line_tells_first_tokens_of_unread_prompts_from_those_after_a_read():
+    core = Core()
+    writer = core.state.number("w")
+    core.state.router.handle = lambda now, event: [api.Send("q", writer)] * (type(event) is api.Request)
+    core.ask()
+    core.do(ev.Began("q", 0), 30 * MS)
+    assert dict(core.state.tally.counts) == {"asked": 1, "first_token_unread": 1}
+
+
 def test_a_probe_goes_to_its_endpoint_and_its_report_to_the_module():
     core = Core()
     seen, handle = [], core.state.router.handle
