Let go of what a read that broke off may have left, also where no place was asked for

No release_unheard line stands near it: the release was never asked for. `Router.on_outcome` released after a failed attempt only where a place had been asked for (`job.asked`), and with no writer usable none is. A read may have ended well just as its connection broke; its state then waits unseen.

Ruled out: a place held late, as it counts while the read is out alone. Test: tests/test_rules_kept.py, fails without the change.

--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -189,7 +189,8 @@
         elif status is Status.FULL and event.note == 1:
             job.state_at = None
         job.local = None
-        if status is not Status.MISS and job.asked:
+        # A read that broke off may have ended well all the same: what it left waits, and nobody knows.
+        if status is not Status.MISS and (job.asked or (attempt.reads and status in RISKY)):
             self.release(job)
         return job
 
--- a/tests/test_rules_kept.py
+++ b/tests/test_rules_kept.py
@@ -313,3 +313,12 @@
     for number in range(3000):
         desk.serve(f"r{number}", prefix=f"p{number}", prefix_len=1000)
     assert len(reader.prefixes) < 200 and len(desk.router.servers[READER_B].prefixes) < 200
+
+
+@pytest.mark.parametrize("status", [Status.RESET, Status.ERROR, Status.CANCELLED, Status.TIMEOUT])
+def test_what_a_read_that_broke_off_may_have_left_is_let_go_though_no_place_was_asked_for(status, desk):
+    desk.ask()
+    reader = desk.sent()[0]
+    assert not desk.of(api.Hold)
+    desk.outcome(status, reader)
+    assert desk.of(api.Release) and not desk.ends()
