Give mixed servers the less of the ring the more readers there are to a writer

`on_fleet` gave a mixed server `even / 2` of a reader's points, more where readers outnumber writers, though it is writing that is short there. It now has 1 / (1 + readers over writers): as before where they are equal.

Test: tests/test_defences.py, two of its four cases fail without the change.

--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -103,7 +103,7 @@
         cells = Counter((s.role, s.entry.cell) for s in self.live(Role))
         even = len(self.live((Role.READ,))) / max(1, len(self.live((Role.WRITE,))))
         near = {cell: even * cells[Role.WRITE, cell] / max(1, cells[Role.READ, cell]) for _, cell in cells}
-        own = {Role.READ: lambda cell: max(PAIRED, near[cell]), Role.BOTH: lambda cell: even / 2 or 1.0}
+        own = {Role.READ: lambda cell: max(PAIRED, near[cell]), Role.BOTH: lambda cell: 1 / (1 + even)}
         self.ring = Ring((s, round(POINTS * min(1.0, own[s.role](s.entry.cell)))) for s in self.live(READERS))
 
     def watch(self) -> None:
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -1,7 +1,7 @@
 """Each defence against a kind of symptom, one small test a failure found."""
 
 import pytest
-from conftest import FLEET, MS, READER_A, READER_B, WRITER_A, WRITER_B, Desk, S, entry
+from conftest import FLEET, MIXED, MS, READER_A, READER_B, WRITER_A, WRITER_B, Desk, S, entry
 
 from hoplane.decision import interface as api
 from hoplane.decision.interface import Status
@@ -265,6 +265,14 @@
     assert 0 < points.count(31) < points.count(READER_A)
 
 
+@pytest.mark.parametrize(("readers", "writers", "points"), [(9, 3, 4), (6, 6, 8), (3, 9, 12), (0, 4, 16)])
+def test_mixed_servers_read_less_the_more_readers_there_are_to_each_writer(readers, writers, points):
+    kinds = ["reader"] * readers + ["writer"] * writers
+    fleet = (*(entry(100 + n, kind) for n, kind in enumerate(kinds)), entry(MIXED, "mixed"))
+    ring = Desk(fleet=fleet).router.ring
+    assert [server.entry.server for _, server in ring.points].count(MIXED) == points
+
+
 def test_a_full_writer_is_passed_over_for_another_cell(desk):
     desk.ask()
     reader = desk.sent()[0]
