Give what is held for a request one owner that knows how long it may wait

Connections that fail are no outcome. Faulty lines: `Router.advance` tried the next writer before it looked at the time, `Router.on_outcome` let the time of a state that failed to be taken start anew nowhere and forgot one that its writer did not find without a release, `reducer.let_go` put the servers that failed last in front, and each connection had its full time-out.

`core/held.py` now owns KV state and reservations of a request: the release time counts from the last outcome that reached a server, a connection for the next attempt gets half of what is left, and a timer backs the decisions. The server that answered last is asked first. A reservation not written when its prefill ends is dropped; one that may be left behind a release gets another. A new state ends a release of the older one that is still being tried.

The test of the ordinary path assumed that a reservation is written even when the prefill has ended first; its reader now waits for the call.

--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -80,11 +80,39 @@
     held: bool | None
 
 
+@dataclass(slots=True, frozen=True)
+class Deadline:
+    """Timer: a client's patience is over. `taken` tells its request from an earlier one with the same id."""
+
+    id: str
+    taken: timedelta
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptTimeout:
+    """Timer: an attempt has taken as long as the decisions allow."""
+
+    id: str
+    taken: timedelta
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class ReleaseDue:
+    """Timer: what is held for a request has waited as long as it may."""
+
+    id: str
+    taken: timedelta
+
+
+CoreTimer = Deadline | AttemptTimeout | ReleaseDue
+
+
 @dataclass(slots=True, frozen=True)
 class Due:
-    """A timer asked for with Wake has come."""
+    """A timer asked for with Wake has come; the decisions' own timers are numbers."""
 
-    timer: object
+    timer: int | CoreTimer
 
 
 @dataclass(slots=True, frozen=True)
@@ -113,13 +141,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Forward:
-    """Open an attempt: send the request to an endpoint, which is told `patience`."""
+    """Open an attempt: send the request to an endpoint, which is told `patience`.
+
+    `connect_within` bounds the wait for a new connection where held state cannot wait for it longer."""
 
     id: str
     attempt: int
     endpoint: Endpoint
     patience: timedelta
     reads: bool
+    connect_within: timedelta | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -180,7 +211,7 @@
     """Feed a Due back at a clock time."""
 
     at: timedelta
-    timer: object
+    timer: int | CoreTimer
 
 
 @dataclass(slots=True, frozen=True)
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -10,12 +10,17 @@
 
 from hoplane.core import events as ev
 from hoplane.core.border import to_ns, to_span
+from hoplane.core.held import HeldState, Holding
 from hoplane.core.ledger import Ledger
 from hoplane.core.tally import Tally
 from hoplane.decision import interface as api
 from hoplane.decision.interface import Status
 from hoplane.decision.rules import Router
 
+SIGNS = {  # outcomes that tell whether a server answers
+    Status.OK: True, Status.MISS: True, Status.FULL: True, Status.ERROR: True,
+    Status.CONNECT_FAILED: False, Status.RESET: False, Status.TIMEOUT: False,
+}
 MAY_HAVE_RUN = (Status.OK, Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 SETTLE = timedelta(milliseconds=15)  # a release waits so long after a read was cut off: the close goes ahead
 BACKSTOP = timedelta(milliseconds=5)  # after the deadline, which the module sees to by itself
@@ -41,14 +46,19 @@
     asked: ev.Asked
     taken: timedelta
     deadline: timedelta
+    held: HeldState
     attempts: list[Attempt] = field(default_factory=list)
     began: bool = False
     closed: bool = False  # the client has its answer, is getting it, or is gone
-    holds: int = 0  # calls out that ask for a place
     held_at: int | None = None  # the writer that was asked last
     cut: bool = False  # a read was cut off: what it left may show up a moment later
     may_have_run: bool = False
 
+    @property
+    def out(self) -> bool:
+        """Tell whether an attempt is out."""
+        return any(not attempt.over for attempt in self.attempts)
+
 
 @dataclass
 class Conductor:
@@ -61,6 +71,7 @@
     numbers: dict[str, int] = field(default_factory=dict)  # the module's server numbers, by name
     fleet: dict[int, ev.Endpoint] = field(default_factory=dict)
     tally: Tally = field(default_factory=Tally)
+    signs: dict[int, tuple[bool, timedelta]] = field(default_factory=dict)  # the last sign: well or not, when
 
     def number(self, name: str) -> int:
         """Give an endpoint's number: the same at every conductor, as the module's ring hashes it."""
@@ -105,9 +116,11 @@
         return
     if once:
         state.ledger.start(once)
-    state.requests[event.id] = Request(event, now, now + event.patience)
+    release_within = state.settings.release_within
+    held = HeldState(None if release_within is None else to_span(release_within))
+    state.requests[event.id] = Request(event, now, now + event.patience, held)
     state.tally.add("asked")
-    yield ev.Wake(now + event.patience + BACKSTOP, (event.id, None, now))
+    yield ev.Wake(now + event.patience + BACKSTOP, ev.Deadline(event.id, now))
     yield from decide(state, now, api.Request(
         event.id, event.cls, event.prompt, event.max_out, to_ns(event.patience),
         event.session, event.prefix, event.prefix_len, None, event.tenant, event.retry, event.resumed,
@@ -136,6 +149,8 @@
         return
     attempt = request.attempts[event.attempt]
     attempt.began = request.began = True
+    request.held.taken()
+    state.signs[attempt.server] = True, now
     read_before = any(each.reads for each in request.attempts[: event.attempt])
     state.tally.add("first_token" if read_before else "first_token_unread", now - attempt.sent)
     yield from decide(state, now, api.FirstToken(
@@ -158,6 +173,12 @@
         yield ev.Say("work", facts)
     if attempt.began or status is Status.OK:
         request.closed = True
+    if attempt.reads:
+        request.held.prefill_ended(now, status)
+    elif not attempt.began:
+        request.held.decode_ended(now, status)
+    if status in SIGNS:
+        state.signs[attempt.server] = SIGNS[status], now
     if attempt.reads and status in MAY_HAVE_RUN:
         request.cut = True
     if not attempt.reads and status in MAY_HAVE_RUN:
@@ -174,12 +195,12 @@
     request = state.requests.get(event.id)
     if request is None:
         return
-    request.holds -= 1
+    left_behind = request.held.reservation_ended(now, event.held is not False and not request.began)
     state.tally.add({True: "held", False: "not_held", None: "hold_unknown"}[event.held])
     attempt = request.attempts[event.attempt]
     if event.held is not None and not attempt.over:
         yield from decide(state, now, api.Place(event.id, event.attempt, attempt.server, event.held))
-    elif request.closed and not request.began and event.held is not False:
+    elif left_behind and not request.out:
         yield let_go(state, request)
     yield from sweep_up(state, now, event.id)
 
@@ -189,19 +210,22 @@
     if isinstance(event.timer, int):
         yield from decide(state, now, api.Timer(event.timer))
         return
-    id, attempt, taken = event.timer
-    request = state.requests.get(id)
+    timer = event.timer
+    request = state.requests.get(timer.id)
     # Guards against a timer of an earlier request with the same id, which would end this one.
-    if request is None or request.began or request.taken != taken:
+    if request is None or request.began or request.taken != timer.taken:
         return
-    if attempt is not None:
-        yield from abandon(request, attempt, Status.TIMEOUT)
+    if isinstance(timer, ev.AttemptTimeout):
+        yield from abandon(request, timer.attempt, Status.TIMEOUT)
+    elif isinstance(timer, ev.ReleaseDue):
+        if not request.out and request.held.due is not None and now >= request.held.due:
+            yield let_go(state, request)
     elif not request.closed:
         # Guards against a module that forgets a request: its time-outs come first, so this is the last word.
         for index in range(len(request.attempts)):
             yield from abandon(request, index, Status.TIMEOUT)
-        yield from fail(state, now, api.Fail(id))
-    yield from sweep_up(state, now, id)
+        yield from fail(state, now, api.Fail(timer.id))
+    yield from sweep_up(state, now, timer.id)
 
 
 def on_listed(state: Conductor, now: timedelta, event: ev.Listed) -> Iterator[ev.Effect]:
@@ -217,6 +241,7 @@
             del state.fleet[number]
     # Guards against a table that grows with each endpoint that ever was; a name's number is the same again.
     state.numbers = {each.name: number for number, each in state.fleet.items()}
+    state.signs = {number: sign for number, sign in state.signs.items() if number in state.fleet}
     entries = tuple(
         api.Entry(number, each.kind, each.zone, each.cell, each.state, each.weight, to_ns(each.started))
         for number, each in known.items()
@@ -258,8 +283,10 @@
         patience = request.deadline - now
         if action.timeout and (own := to_span(action.timeout)) < patience:
             patience = own
-            yield ev.Wake(now + own, (action.request, index, request.taken))
-        yield ev.Forward(action.request, index, endpoint, patience, role is api.Role.READ)
+            yield ev.Wake(now + own, ev.AttemptTimeout(action.request, request.taken, index))
+        reads = role is api.Role.READ
+        connect_within = None if reads else request.held.connect_within(now)
+        yield ev.Forward(action.request, index, endpoint, patience, reads, connect_within)
         return []
     request.attempts[index].over = True
     return [api.Outcome(action.request, index, action.server, status, 0, request.closed)]
@@ -270,7 +297,7 @@
     request, endpoint = state.requests.get(action.request), state.fleet.get(action.server)
     if request is None or endpoint is None or not request.attempts or request.attempts[-1].over:
         return
-    request.holds += 1
+    request.held.reservation_sent()
     request.held_at = action.server
     yield ev.AskHold(action.request, len(request.attempts) - 1, endpoint)
 
@@ -333,35 +360,47 @@
 
 
 def let_go(state: Conductor, request: Request) -> ev.LetGo:
-    """Ask for a release: at an endpoint that had part in the request first, then by turns in every zone.
+    """Ask for a release: at the endpoint that answered last first, then by turns in every zone.
 
-    Guards against a zone that is cut off: all that had part in a request may be in it, and so may all that
-    come first in the list."""
-    numbers = [attempt.server for attempt in reversed(request.attempts)]
-    if request.held_at is not None:
-        numbers.append(request.held_at)
+    Any endpoint takes it. Guards against a zone that is cut off: all that had part in a request may be in it,
+    and so may all that come first in the list. The time is short: the servers that just failed come last."""
+    request.held.released()
     fleet = list(state.fleet)
     start = crc32(request.asked.id.encode()) % max(1, len(fleet))  # lest all routers ask the same one
-    order = [n for n in dict.fromkeys([*numbers, *fleet[start:], *fleet[:start]]) if n in state.fleet]
+    had_part = [attempt.server for attempt in reversed(request.attempts)]
+    if request.held_at is not None:
+        had_part.append(request.held_at)
+    known = (n for n in dict.fromkeys([*had_part, *fleet[start:], *fleet[:start]]) if n in state.fleet)
+    order = sorted(known, key=lambda number: last_sign(state, number))
     zones: dict[str | None, list[ev.Endpoint]] = {state.fleet[n].zone: [] for n in order[:1]}
     zones.setdefault(state.settings.zone, [])
     for endpoint in (state.fleet[n] for n in order):
         zones.setdefault(endpoint.zone, []).append(endpoint)
     turns = chain.from_iterable(zip_longest(*zones.values()))
-    release_within = state.settings.release_within
-    within = HELD if release_within is None else to_span(release_within)
+    within = request.held.release_within or HELD
     endpoints = tuple(endpoint for endpoint in turns if endpoint is not None)
     return ev.LetGo(request.asked.id, endpoints, within, SETTLE if request.cut else ev.ZERO)
 
 
+def last_sign(state: Conductor, number: int) -> tuple[int, timedelta]:
+    """Give a sort key: servers that answered last come first, then unknown ones, then those that failed."""
+    if number not in state.signs:
+        return 1, ev.ZERO
+    well, at = state.signs[number]
+    return (0, -at) if well else (2, at)
+
+
 def sweep_up(state: Conductor, now: timedelta, id: str) -> Iterator[ev.Effect]:
-    """Forget a request whose answer is given and that has nothing out any more."""
+    """Forget a request whose answer is given and that has nothing out any more; see to what may be held."""
     request = state.requests.get(id)
-    if request is None or not request.closed or request.holds:
+    if request is None or request.out:
         return
-    if any(not attempt.over for attempt in request.attempts):
+    if request.held.holding is Holding.HELD and request.closed:
+        yield let_go(state, request)
+    elif request.held.due is not None:
+        yield ev.Wake(request.held.due, ev.ReleaseDue(id, request.taken))
+    if not request.closed or request.held.reservations:
         return
     del state.requests[id]
     if request.asked.once:
         state.ledger.end(request.asked.once, now, request.may_have_run)
-    yield from ()
--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -186,11 +186,13 @@
             self.learn_read(job, server, event)
         elif status is Status.OK and job.first_at is not None:
             self.learn_answer(job, server, event)
-        elif status is Status.FULL and event.note == 1:
-            job.state_at = None
+        if not attempt.reads and status is not Status.CONNECT_FAILED:
+            job.state_since = self.now
         job.local = None
         # A read that broke off may have ended well all the same: what it left waits, and nobody knows.
-        if status is not Status.MISS and (job.asked or (attempt.reads and status in RISKY)):
+        # So does a state that its writer could not reach and tells to be gone.
+        unknown = status in RISKY if attempt.reads else status is Status.FULL and event.note == 1
+        if status is not Status.MISS and (job.asked or unknown):
             self.release(job)
         return job
 
@@ -342,10 +344,12 @@
         spent = self.now >= job.deadline - self.settings.tick or not self.may_send(job, None)
         over = spent or self.stranded(job)
         due = job.state_since + (self.settings.release_within or IDLE) - 2 * SWEEP  # a state waits until then
-        if not over and job.state_at is None and self.late(job):
-            over = not self.send_first(job, self.escape(job), reads=False)
-        elif not over and not self.step(job) and job.state_at is not None and self.now > due:
+        if not over and job.state_at is not None and self.now > due:
             self.release(job)
+        elif not over and job.state_at is None and self.late(job):
+            over = not self.send_first(job, self.escape(job), reads=False)
+        elif not over:
+            self.step(job)
         if over:
             self.finish(job)
 
--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -68,8 +68,16 @@
         if context is not None:
             context.set()
 
-    def request(self, method: str, address: str, path: str, sent: asyncio.Event | None = None, **more):
-        """Send a call; `sent` is set once its first bytes may have gone."""
+    def request(
+        self, method: str, address: str, path: str, sent: asyncio.Event | None = None,
+        connect_within: timedelta | None = None, **more,
+    ):
+        """Send a call; `sent` is set once its first bytes may have gone.
+
+        `connect_within` shortens the usual wait for a new connection."""
+        if connect_within is not None:
+            bound = min(connect_within.total_seconds(), self.session.timeout.sock_connect)
+            more["timeout"] = aiohttp.ClientTimeout(total=None, sock_connect=bound)
         # Guards against yarl writing a path or query anew: it passes on as it came.
         url = URL(f"http://{address}{path}", encoded=True)
         return self.session.request(
@@ -85,11 +93,13 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
 
-    async def call(self, method: str, address: str, path: str, within: timedelta) -> int | None:
+    async def call(
+        self, method: str, address: str, path: str, within: timedelta, sent: asyncio.Event | None = None,
+    ) -> int | None:
         """Make a call without a body and give the answer's status, None where none came."""
         try:
             async with asyncio.timeout(within.total_seconds()):
-                async with self.request(method, address, path) as answer:
+                async with self.request(method, address, path, sent) as answer:
                     await answer.read()
                     return answer.status
         except (aiohttp.ClientError, TimeoutError, OSError):
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -29,6 +29,7 @@
 UNHEARD = timedelta(milliseconds=500)  # an attempt given up after this casts doubt on kept connections
 PROBE_WAIT = timedelta(milliseconds=250)
 HOLD_WAIT = timedelta(seconds=1)
+RESERVED = {200: True, 409: False, 404: False}  # what an answer to a reservation call tells; others may hold
 SHORT_WAIT = timedelta(seconds=1)  # for the body of an answer that is no stream
 QUIET = timedelta(seconds=4.8)  # without an event: a client must not be left waiting for 5 s
 
@@ -64,6 +65,7 @@
         self.attempts: dict[tuple[str, int], asyncio.Task] = {}
         self.sent: dict[tuple[str, int], asyncio.Event] = {}
         self.tasks: set[asyncio.Task] = set()
+        self.releases: dict[str, asyncio.Task] = {}  # the latest release that is out, by request
         self.queue: deque[ev.Event] = deque()
         self.busy = False
         self.effects = {
@@ -131,7 +133,14 @@
         self.spawn(self.hold(effect))
 
     def let_go(self, effect: ev.LetGo) -> None:
-        self.spawn(self.release(effect))
+        if last := self.releases.pop(effect.id, None):
+            last.cancel()  # the new one releases all that the last one was to release
+        task = self.releases[effect.id] = self.spawn(self.release(effect))
+        task.add_done_callback(lambda task: self.release_ended(effect.id, task))
+
+    def release_ended(self, id: str, task: asyncio.Task) -> None:
+        if self.releases.get(id) is task:
+            del self.releases[id]
 
     # --- work
 
@@ -144,9 +153,13 @@
         del self.attempts[key]
         self.sent.pop(key).set()
         if task.cancelled():
-            self.feed(ev.Ended(*key, Status.CANCELLED))
+            ended = ev.Ended(*key, Status.CANCELLED)
         else:
-            self.feed(ev.Ended(*key, Status.ERROR) if task.exception() else task.result())
+            ended = ev.Ended(*key, Status.ERROR) if task.exception() else task.result()
+        if ended.status is Status.MISS and (release := self.releases.pop(effect.id, None)):
+            # Guards against a release of older state that is heard late, and takes the new state as well.
+            release.cancel()
+        self.feed(ended)
 
     async def play(self, effect: ev.Forward, exchange: Exchange) -> ev.Ended:
         """Send the request, and pass its answer on where there is one."""
@@ -158,7 +171,8 @@
         call, begun = exchange.call(effect), self.loop.time()
         try:
             answer = await self.pool.request(
-                call.method, effect.endpoint.address, call.path, sent, headers=call.headers, data=call.body
+                call.method, effect.endpoint.address, call.path, sent, effect.connect_within,
+                headers=call.headers, data=call.body,
             )
         except Spoilt as error:
             return over(self.spoilt(effect, error))
@@ -286,15 +300,28 @@
 
     async def hold(self, effect: ev.AskHold) -> None:
         """Ask for a place once the read is on its way: before that no endpoint would know of it."""
-        held = None
+        held, key = None, (effect.id, effect.attempt)
         try:
-            if (sent := self.sent.get((effect.id, effect.attempt))) and (path := self.hold_path(effect.id)):
+            if (sent := self.sent.get(key)) and (path := self.hold_path(effect.id)):
                 await sent.wait()
-                if (effect.id, effect.attempt) in self.attempts:
-                    status = await self.pool.call("POST", effect.endpoint.address, path, HOLD_WAIT)
-                    held = {200: True, 409: False}.get(status)
+                if prefill := self.attempts.get(key):
+                    held = await self.reserve(effect.endpoint.address, path, prefill)
+        finally:
+            self.feed(ev.HoldAnswered(*key, held))
+
+    async def reserve(self, address: str, path: str, prefill: asyncio.Task) -> bool | None:
+        """Make a reservation call; one that has not been written when the prefill ends is dropped.
+
+        Guards against a connection that comes up late: the reservation would be held for nobody."""
+        written = asyncio.Event()
+        call = self.loop.create_task(self.pool.call("POST", address, path, HOLD_WAIT, written))
+        try:
+            await asyncio.wait({call, prefill}, return_when=asyncio.FIRST_COMPLETED)
+            if call.done() or written.is_set():
+                return RESERVED.get(await call)
+            return False
         finally:
-            self.feed(ev.HoldAnswered(effect.id, effect.attempt, held))
+            call.cancel()
 
     async def probe(self, effect: ev.AskLoad) -> None:
         """Fetch an endpoint's load report; one that takes too long is worth no more."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -66,8 +66,16 @@
 
 
 def test_a_request_is_read_then_written_and_its_events_pass_unchanged(tmp_path):
+    desks = []
+
+    async def read_once_a_place_is_asked_for(call, writer):
+        if call[0].startswith("POST /v1/chat"):
+            await desks[0].writer.wait_for("POST /v1/holds/r1")
+        await read_it(call, writer)
+
     async def test():
-        async with desk(tmp_path) as program:
+        async with desk(tmp_path, read=read_once_a_place_is_asked_for) as program:
+            desks.append(program)
             first, headers, body = await program.ask(chat(body=b'{"stream": true,  "n":1}'))
             assert first.startswith("HTTP/1.1 200") and body == EVENT + USAGE + DONE
             for server in (program.reader, program.writer):
