Count a request's time from its arrival and tell what is left as it is written

With tens of thousands of idle clients each conductor uses all of its core, and a request waits unseen: in the accept queue (16 are accepted in a row), before the loop looks for input again, and until a connection is up. Faulty lines: `Platform.chat` took the client's time as if the request had come that moment, and `Exchange.call` wrote the time left before the connection was asked for, up to 250 ms early.

`net/arrival.py` bounds the wait: what a look for input finds came after the look before it, and a connection behind a full accept queue came when at most its length were ahead. `net/outgoing.py` completes the headers when the connection is up. There the endpoint's state is looked at again too: one that began to drain meanwhile gets nothing, and the attempt counts as never sent.

Tests: tests/test_time_left.py; without the change its stand-ins see the old time and the drained endpoint's call.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -18,6 +18,7 @@
 from hoplane.config import Config, ConfigError
 from hoplane.fronts import kserve, platform
 from hoplane.net import signals
+from hoplane.net.arrival import Loop
 from hoplane.net.discovery import Discovery
 from hoplane.net.pool import RESERVED, Pool
 from hoplane.net.runtime import Runtime
@@ -126,7 +127,8 @@
     signals.ignore_reload()
     try:
         config = configuration.load(os.environ, file)
-        asyncio.run(serve(config, lambda: configuration.load(os.environ, file, again=True)))
+        with asyncio.Runner(loop_factory=Loop) as runner:
+            runner.run(serve(config, lambda: configuration.load(os.environ, file, again=True)))
     except ConfigError as error:
         log.say("bad_configuration", error=str(error))
         return 2
--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -141,14 +141,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Forward:
-    """Open an attempt: send the request to an endpoint, which is told `patience`.
+    """Open an attempt: send the request to an endpoint, which is told the time that is left to `deadline`.
 
     `connect_within` bounds the wait for a new connection where held state cannot wait for it longer."""
 
     id: str
     attempt: int
     endpoint: Endpoint
-    patience: timedelta
+    deadline: timedelta
     reads: bool
     connect_within: timedelta | None = None
 
--- a/hoplane/core/held.py
+++ b/hoplane/core/held.py
@@ -11,6 +11,8 @@
 RELEASE_MARGIN = timedelta(milliseconds=50)  # of the release time: for the release call itself
 CONNECT_LEAST = timedelta(milliseconds=100)  # a connection over a busy link still comes up within this
 
+# After these an attempt never reached its server.
+NEVER_SENT = (Status.CONNECT_FAILED, Status.MOOT)
 # After these a prefill may have ended well at its server, whatever its client saw.
 MAY_HOLD = (Status.MISS, Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 
@@ -58,7 +60,7 @@
 
     def decode_ended(self, now: timedelta, status: Status) -> None:
         """Note the end of an attempt that was to take the state."""
-        if status is not Status.CONNECT_FAILED:
+        if status not in NEVER_SENT:
             self.since = now
 
     def reservation_sent(self) -> None:
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -73,6 +73,11 @@
     tally: Tally = field(default_factory=Tally)
     signs: dict[int, tuple[bool, timedelta]] = field(default_factory=dict)  # the last sign: well or not, when
 
+    def takes_work(self, name: str) -> bool:
+        """Tell whether an endpoint is listed and does not drain."""
+        endpoint = self.fleet.get(self.numbers.get(name, -1))
+        return endpoint is not None and endpoint.state is api.State.LIVE
+
     def number(self, name: str) -> int:
         """Give an endpoint's number: the same at every conductor, as the module's ring hashes it."""
         if name not in self.numbers:
@@ -280,13 +285,13 @@
     elif endpoint is None:
         status = Status.CONNECT_FAILED
     else:
-        patience = request.deadline - now
-        if action.timeout and (own := to_span(action.timeout)) < patience:
-            patience = own
-            yield ev.Wake(now + own, ev.AttemptTimeout(action.request, request.taken, index))
+        deadline = request.deadline
+        if action.timeout and (own := now + to_span(action.timeout)) < deadline:
+            deadline = own
+            yield ev.Wake(own, ev.AttemptTimeout(action.request, request.taken, index))
         reads = role is api.Role.READ
         connect_within = None if reads else request.held.connect_within(now)
-        yield ev.Forward(action.request, index, endpoint, patience, reads, connect_within)
+        yield ev.Forward(action.request, index, endpoint, deadline, reads, connect_within)
         return []
     request.attempts[index].over = True
     return [api.Outcome(action.request, index, action.server, status, 0, request.closed)]
--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -186,7 +186,7 @@
             self.learn_read(job, server, event)
         elif status is Status.OK and job.first_at is not None:
             self.learn_answer(job, server, event)
-        if not attempt.reads and status is not Status.CONNECT_FAILED:
+        if not attempt.reads and status not in (Status.CONNECT_FAILED, Status.MOOT):
             job.state_since = self.now
         job.local = None
         # A read that broke off may have ended well all the same: what it left waits, and nobody knows.
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -6,6 +6,7 @@
 import re
 from collections.abc import Mapping
 from contextlib import suppress
+from dataclasses import replace
 from datetime import timedelta
 from math import isfinite
 
@@ -131,9 +132,8 @@
         self.sink = StreamSink(request, response, self.done)
 
     def call(self, forward: Forward) -> Call:
-        left = max(1, forward.patience // timedelta(milliseconds=1))
-        headers = {ID: self.asked.id, LEFT_MS: str(left), "Content-Type": self.kind}
-        return Call(self.method, self.path, headers, self.body)
+        headers = {ID: self.asked.id, "Content-Type": self.kind}
+        return Call(self.method, self.path, headers, self.body, LEFT_MS)
 
     def read_head(self, status: int, headers: Mapping[str, str], body: bytes) -> Verdict:
         return read_head(status, headers, body)
@@ -203,6 +203,9 @@
             return problem(409, "this id is in use")
         if len(runtime.exchanges) >= self.config.max_open:
             return self.busy()
+        # Guards against telling endpoints time that the client no longer has.
+        left = max(timedelta(), asked.patience - self.server.waited(request))
+        asked = replace(asked, patience=left)
         exchange = runtime.exchanges[asked.id] = Exchange(request, asked, body)
         if self.server.stopping:
             exchange.response.force_close()
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -18,6 +18,7 @@
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
 from hoplane import log
+from hoplane.net.arrival import Listener, input_since, looks
 
 HEAD_MOST = 64 * 1024  # bytes of an answer's head, with all interim ones ahead of it
 HEAD_WAIT = timedelta(seconds=0.3)  # from a head's first byte to its end; it is written in one piece
@@ -26,9 +27,14 @@
 LINGER = timedelta(seconds=5)  # for a client to take an error and to end what it is sending
 BREAKS, BREAKS_WITHIN = 2, 5.0  # kept connections that broke when used again, within so many seconds
 KEEP_AGAIN, KEEP_AGAIN_MOST = 10.0, 80.0  # seconds in which none is kept then
+FIRST_LOOKS = 2  # looks for input after a connection's start, up to which its first bytes came along with it
 FRESH = timedelta(seconds=0.3)  # a new connection so young may be a usual client's whose head is on its way
 
 
+# A request's own note: since when it may have waited, None where its body is still to come.
+ARRIVED = web.RequestKey("arrived", float | None)
+
+
 class Spoilt(aiohttp.ClientPayloadError):
     """An answer that cannot be read; its request may have run, and its connection is of no further use."""
 
@@ -185,17 +191,26 @@
     So we end our sending, await the client's end, and throw away unread what it sends meanwhile."""
 
     __slots__ = ("since", "deaf", "served", "part_since", "holding", "ahead", "ahead_size", "ending",
-                 "answered")
+                 "answered", "last_input", "arrivals", "made_at_look")
 
     def __init__(self, manager: Door, **settings: object) -> None:
         super().__init__(manager, **settings)
         self.since = self._loop.time()
         self.deaf = self.served = self.holding = False
         self.part_since: float | None = None  # when the first bytes of a head came that is not whole yet
-        self.ahead: list[bytes] = []  # what came while aiohttp wants nothing more
+        self.last_input = self.since  # since when the bytes that came last may have waited
+        self.arrivals: dict[int, float] = {}  # the same for each head not yet taken up, by its identity
+        self.made_at_look = 0
+        self.ahead: list[tuple[bytes, float]] = []  # what came while aiohttp wants nothing more, and when
         self.ahead_size = self.answered = 0
         self.ending: asyncio.TimerHandle | None = None
 
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        super().connection_made(transport)
+        self.made_at_look = looks(self._loop)
+        if self._manager is not None:
+            self.last_input = self._manager.accepted(transport)
+
     @property
     def idle(self) -> bool:
         """Tell whether all requests that were read from it are answered.
@@ -209,13 +224,23 @@
         return self.idle and self.part_since is None
 
     def data_received(self, data: bytes) -> None:
+        if not self.deaf:
+            first = not self._request_count and looks(self._loop) <= self.made_at_look + FIRST_LOOKS
+            self.take_in(data, self.last_input if first else input_since(self._loop))
+
+    def take_in(self, data: bytes, since: float) -> None:
+        """Read bytes that may have waited since a moment."""
         if self.deaf:
             return
         if self.holding and data:
-            self.put_by(data)
+            self.put_by(data, since)
             return
         heads = self._request_count
+        if data:
+            self.last_input = since
         super().data_received(data)
+        for message, _ in self._messages:
+            self.arrivals.setdefault(id(message), self.last_input)
         if self._request_count > heads:
             self.part_since = None
         elif data and self.idle and self.part_since is None:
@@ -223,9 +248,13 @@
         if self._messages and isinstance(self._messages[-1][0], _ErrInfo):
             self.deaf = True  # guards against each further piece counting as one more bad request
 
-    def put_by(self, data: bytes) -> None:
+    def arrived(self, message: object) -> float:
+        """Give since when a request's head may have waited."""
+        return self.arrivals.pop(id(message), self.last_input)
+
+    def put_by(self, data: bytes, since: float) -> None:
         """Keep what comes ahead of its time; past the bounds reading stops after all."""
-        self.ahead.append(data)
+        self.ahead.append((data, since))
         self.ahead_size += len(data)
         self._manager.ahead_left -= len(data)
         if self.ahead_size > 2 * self._manager.body_most or self._manager.ahead_left < 0:
@@ -244,9 +273,9 @@
     def take_up(self) -> None:
         """Go on with what was put by, until aiohttp has enough again."""
         while self.ahead and not self.holding:
-            data = self.ahead.pop(0)
+            data, since = self.ahead.pop(0)
             self.give_back(len(data))
-            self.data_received(data)
+            self.take_in(data, since)
 
     def give_back(self, size: int) -> None:
         self.ahead_size -= size
@@ -352,6 +381,7 @@
             Caller, self, loop=self._loop, auto_decompress=False, access_log=None,
             keepalive_timeout=SILENT.total_seconds(), lingering_time=0,
         )
+        self.listener: Listener | None = None
         self.problem, self.most, self.turned_most, self.body_most = problem, most, turned_most, body_most
         self.ahead_left = ahead_most  # bytes that may be kept for all connections together
         self.winding_up = False
@@ -359,9 +389,19 @@
         self.turned_away: OrderedDict[TurnedAway, None] = OrderedDict()
 
     def make(self, message, payload, protocol, writer, task) -> web.BaseRequest:
-        return web.BaseRequest(
+        request = web.BaseRequest(
             message, payload, protocol, writer, task, self._loop, client_max_size=self.body_most + 1
         )
+        arrived = protocol.arrived(message)
+        request[ARRIVED] = arrived if payload.is_eof() else None
+        return request
+
+    def accepted(self, transport: asyncio.Transport) -> float:
+        """Give since when a new connection may have waited to be accepted."""
+        accepted = transport.get_extra_info("socket")
+        if self.listener is None or accepted is None:
+            return self._loop.time()
+        return self.listener.waiting_since.pop(accepted.fileno(), self._loop.time())
 
     def __call__(self) -> asyncio.Protocol:
         if len(self._connections) < self.most or self.make_room():
@@ -409,9 +449,9 @@
                 connection.see_off()
 
 
-def listening(host: str, port: int) -> socket.socket:
+def listening(host: str, port: int) -> Listener:
     """Give a socket bound to an address, not yet listening."""
-    made = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+    made = Listener(socket.AF_INET6 if ":" in host else socket.AF_INET)
     made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     made.setblocking(False)
     made.bind((host, port))
--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -14,6 +14,7 @@
 
 from hoplane.config import Config
 from hoplane.net.aio import Connector, never_resend
+from hoplane.net.outgoing import BeforeWrite, LateRequest, before_write
 
 READ_AHEAD = 16 * 1024  # bytes taken from an endpoint before a slow client has taken them
 RESERVED = 4  # sockets that only discovery uses: one for its watch, others while broken ones end
@@ -43,6 +44,7 @@
             auto_decompress=False,
             trace_configs=[trace],
             read_bufsize=READ_AHEAD,
+            request_class=LateRequest,
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
         )
@@ -70,11 +72,12 @@
 
     def request(
         self, method: str, address: str, path: str, sent: asyncio.Event | None = None,
-        connect_within: timedelta | None = None, **more,
+        connect_within: timedelta | None = None, complete: BeforeWrite | None = None, **more,
     ):
         """Send a call; `sent` is set once its first bytes may have gone.
 
-        `connect_within` shortens the usual wait for a new connection."""
+        `connect_within` shortens the usual wait for a new connection; `complete` is called when it is up."""
+        before_write.set(complete)  # always: a task inherits what the one that started it had set
         if connect_within is not None:
             bound = min(connect_within.total_seconds(), self.session.timeout.sock_connect)
             more["timeout"] = aiohttp.ClientTimeout(total=None, sock_connect=bound)
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, MutableMapping
 from contextlib import suppress
 from datetime import timedelta
 
@@ -19,9 +19,10 @@
 from hoplane.decision.rules import Router
 from hoplane.net.aio import Spoilt, Stale
 from hoplane.net.clock import Clock
+from hoplane.net.outgoing import Withdrawn
 from hoplane.net.pool import Pool
 from hoplane.net.server import Bodies
-from hoplane.net.wire import Exchange, Sink
+from hoplane.net.wire import Call, Exchange, Sink
 
 HEAD_MOST = 64 * 1024  # bytes read of an answer that is not a stream
 TAIL = 2048  # bytes kept of a stream's end, where usage and the load report stand
@@ -172,8 +173,10 @@
         try:
             answer = await self.pool.request(
                 call.method, effect.endpoint.address, call.path, sent, effect.connect_within,
-                headers=call.headers, data=call.body,
+                lambda headers: self.complete(effect, call, headers), headers=call.headers, data=call.body,
             )
+        except Withdrawn:
+            return over(Status.MOOT)
         except Spoilt as error:
             return over(self.spoilt(effect, error))
         except asyncio.CancelledError:
@@ -207,6 +210,14 @@
             else:
                 answer.close()
 
+    def complete(self, effect: ev.Forward, call: Call, headers: MutableMapping[str, str]) -> None:
+        """Tell the time that is left once the connection is up, or withdraw what may not be sent any more."""
+        left = effect.deadline - self.clock.now()
+        if not self.state.takes_work(effect.endpoint.name) or left <= timedelta():
+            raise Withdrawn
+        if call.time_left:
+            headers[call.time_left] = str(max(1, left // timedelta(milliseconds=1)))
+
     @staticmethod
     async def read_short(answer: aiohttp.ClientResponse) -> bytes | None:
         """Read an answer that is no stream; None where it cannot be read to its end."""
--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -11,7 +11,7 @@
 
 from hoplane import log
 from hoplane.config import BODY_MOST, Config, Limits
-from hoplane.net.aio import Door, listening
+from hoplane.net.aio import ARRIVED, Door, listening
 
 BODY_WAIT = timedelta(seconds=2.6)  # for a body: a new client is owed an error or a close within 3 s
 LINGER = timedelta(seconds=0.5)  # after SIGTERM, as clients keep coming for 0.2 to 0.4 s
@@ -151,7 +151,7 @@
     async def start(self) -> None:
         # Guards against a flood of connections that takes all descriptors at once: the loop accepts as many
         # in a row as its backlog says, before any that we close is gone, and waits a second if it runs out.
-        made = listening(*self.config.listen)
+        made = self.door.listener = listening(*self.config.listen)
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(self.door, sock=made, backlog=ACCEPT_MOST)
         made.listen(BACKLOG)
@@ -171,6 +171,14 @@
             response.force_close()
         return response
 
+    @staticmethod
+    def waited(request: web.BaseRequest) -> timedelta:
+        """Give how long a request that has been read may have waited, from its last byte on."""
+        since = request[ARRIVED]
+        if since is None:
+            since = request.protocol.last_input
+        return timedelta(seconds=max(0.0, asyncio.get_running_loop().time() - since))
+
     @staticmethod
     def size(request: web.BaseRequest) -> int:
         """Give how much memory a body may take; one of untold length may take the most."""
--- a/hoplane/net/wire.py
+++ b/hoplane/net/wire.py
@@ -20,6 +20,7 @@
     path: str
     headers: Mapping[str, str]
     body: bytes
+    time_left: str = ""  # the header that tells how many milliseconds are left, where there is one
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -69,7 +69,7 @@
 def test_a_request_goes_to_a_reader_with_a_hold_and_then_to_the_writer(core):
     core.ask()
     (forward,), (hold,) = core.of(ev.Forward), core.of(ev.AskHold)
-    assert forward.endpoint.name == "r" and forward.reads and forward.patience == 4 * SECOND
+    assert forward.endpoint.name == "r" and forward.reads and forward.deadline == core.now + 4 * SECOND
     core.do(ev.HoldAnswered("q", 0, True), MS)
     assert core.read(holds=0).endpoint.name == hold.endpoint.name
     core.do(ev.Began("q", 1), MS)
--- /dev/null
+++ b/tests/test_time_left.py
@@ -0,0 +1,271 @@
+"""An endpoint is told the time that a client has left as its request is written; a draining one gets none."""
+
+import asyncio
+import json
+import socket
+import threading
+import time
+from contextlib import suppress
+
+import pytest
+from standins import (
+    DONE,
+    EVENT,
+    SETTINGS,
+    STREAM,
+    Server,
+    chat,
+    chunk,
+    entry,
+    message,
+    platform,
+    read_message,
+    within,
+)
+from test_platform import desk, read_it, write_it
+
+from hoplane.net.arrival import Listener, Loop, input_since, looks
+
+
+class GatedSocket:
+    """An address whose connections come up when it is opened: till then the listener's queue is full."""
+
+    def __init__(self):
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.listener.setblocking(False)
+        self.address = "{}:{}".format(*self.listener.getsockname())
+        self.fillers = [socket.socket() for _ in range(4)]
+        for filler in self.fillers:
+            filler.setblocking(False)
+            filler.connect_ex(self.listener.getsockname())
+
+    async def open(self, serve):
+        """Let connections come up, and serve them."""
+        while True:
+            try:
+                accepted, _ = self.listener.accept()
+                accepted.close()
+            except BlockingIOError:
+                break
+        for filler in self.fillers:
+            filler.close()
+        return await asyncio.start_server(serve, sock=self.listener)
+
+
+def patient(**allowed):
+    """Give settings under which a connection may take three seconds to come up."""
+    return {**SETTINGS, "allowed": {**SETTINGS["allowed"], "connect_timeout": 3_000_000_000, **allowed}}
+
+
+def test_a_connection_that_comes_up_late_leaves_less_time_to_tell(tmp_path):
+    told = []
+
+    async def serve(reader, writer):
+        with suppress(ConnectionError):
+            while call := await read_message(reader):
+                if call[0].startswith("POST /v1/chat"):
+                    told.append((time.monotonic(), int(call[1]["x-time-left-ms"])))
+                await read_it(call, writer)
+
+    async def test():
+        gate = GatedSocket()
+        async with Server(write_it) as writer:
+            entries = [entry("r1", gate.address, "prefill"), entry("w1", writer.address, "decode")]
+            async with platform(tmp_path, entries, settings=patient()) as program:
+                asked, left = time.monotonic(), 4000
+                asking = asyncio.ensure_future(program.ask(chat(left=left)))
+                await asyncio.sleep(0.3)  # its first attempt to connect was dropped
+                server = await gate.open(serve)
+                assert (await within(asking))[0].split()[1] in ("200", "503")
+                (at, told_left), *_ = told
+                assert told_left <= left - (at - asked) * 1000 + 5
+                server.close()
+    asyncio.run(test())
+
+
+def test_a_drain_told_while_a_connection_comes_up_withdraws_the_attempt(tmp_path):
+    came = []
+
+    async def serve(reader, writer):
+        with suppress(ConnectionError):
+            while call := await read_message(reader):
+                came.append(call[0])
+                await read_it(call, writer)
+
+    async def test():
+        gate = GatedSocket()
+        async with Server(read_it) as other, Server(write_it) as writer:
+            entries = [entry("r1", gate.address, "prefill"), entry("w1", writer.address, "decode")]
+            async with platform(tmp_path, entries, settings=patient()) as program:
+                asking = asyncio.ensure_future(program.ask(chat(left=4000)))
+                await asyncio.sleep(0.3)
+                drained = [{**entries[0], "status": "Terminating"}, entry("r2", other.address, "prefill")]
+                await program.discovery.tell([*drained, entries[1]])
+                while (await program.line("endpoints"))["not_live"] != {"r1": "draining"}:
+                    pass
+                server = await gate.open(serve)
+                assert (await within(asking))[0].split()[1] == "200"
+                assert not [line for line in came if line.startswith("POST /v1/chat")]
+                assert len(other.named("POST /v1/chat")) == 1
+                server.close()
+    asyncio.run(test())
+
+
+def run(test):
+    """Run a test on the program's own kind of loop."""
+    with asyncio.Runner(loop_factory=Loop) as runner:
+        return runner.run(test)
+
+
+@pytest.fixture
+def listener():
+    made = Listener(socket.AF_INET, socket.SOCK_STREAM)
+    made.setblocking(False)
+    made.bind(("127.0.0.1", 0))
+    made.listen(64)
+    with made:
+        yield made
+
+
+async def time_of_input(send_after):
+    """Give since when a byte may have waited by the loop's account, and when it was sent."""
+    loop = asyncio.get_running_loop()
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    seen, sent = loop.create_future(), []
+
+    def read():
+        ours.recv(1)
+        seen.set_result(input_since(loop))
+
+    def send():
+        sent.append(time.monotonic())
+        theirs.send(b"x")
+
+    loop.add_reader(ours, read)
+    await asyncio.sleep(0)
+    send_after(loop, send)
+    since = await within(seen)
+    loop.remove_reader(ours)
+    ours.close()
+    theirs.close()
+    return since, sent[0]
+
+
+def test_input_that_came_while_the_loop_was_busy_counts_from_the_look_before():
+    def busy(loop, send):
+        send()
+        time.sleep(0.05)
+
+    since, sent = run(time_of_input(busy))
+    assert sent - 0.04 < since <= sent
+
+
+def test_input_that_the_loop_waited_for_counts_from_its_coming():
+    since, sent = run(time_of_input(lambda loop, send: threading.Timer(0.05, send).start()))
+    assert since >= sent
+
+
+def test_connections_left_in_the_queue_have_waited_since_it_began(listener):
+    async def test():
+        loop = asyncio.get_running_loop()
+        clients = [socket.create_connection(listener.getsockname()) for _ in range(3)]
+        await asyncio.sleep(0)
+        first, _ = listener.accept()
+        began = listener.waiting_since[first.fileno()]
+        time.sleep(0.05)
+        await asyncio.sleep(0)  # another look, after which the rest is accepted
+        second, _ = listener.accept()
+        assert listener.waiting_since[second.fileno()] == began
+        third, _ = listener.accept()
+        with pytest.raises(BlockingIOError):
+            listener.accept()
+        before = time.monotonic()
+        await asyncio.sleep(0.02)
+        late = socket.create_connection(listener.getsockname())
+        fourth, _ = listener.accept()
+        assert listener.waiting_since[fourth.fileno()] >= before and looks(loop) > 0
+        for each in (*clients, late, first, second, third, fourth):
+            each.close()
+    run(test())
+
+
+def test_nobody_has_waited_longer_than_a_full_queue_took_to_accept(listener):
+    async def test():
+        listener.listen(2)
+        clients, accepted = [socket.create_connection(listener.getsockname())], []
+        for _ in range(5):  # the queue never empties
+            clients.append(socket.create_connection(listener.getsockname()))
+            await asyncio.sleep(0)
+            accepted.append(listener.accept()[0])
+            time.sleep(0.02)
+        waits = [listener.waiting_since[each.fileno()] for each in accepted]
+        assert waits[0] == waits[1] < waits[3] < waits[4]
+        for each in (*clients, *accepted):
+            each.close()
+    run(test())
+
+
+def test_a_queue_that_the_loop_found_empty_between_two_connections_is_a_new_one(listener):
+    async def test():
+        client = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()  # the loop stops here, not knowing that none is left
+        for _ in range(3):
+            await asyncio.sleep(0.01)
+        before = time.monotonic() - 0.015
+        late = socket.create_connection(listener.getsockname())
+        second, _ = listener.accept()
+        assert listener.waiting_since[second.fileno()] >= before
+        for each in (client, accepted, late, second):
+            each.close()
+    run(test())
+
+
+def test_requests_sent_ahead_count_from_when_they_came(tmp_path):
+    """The second of two pipelined requests waits for the first one's answer, and its time runs meanwhile."""
+    go_on, told = asyncio.Event(), {}
+
+    async def write_first_late(call, writer):
+        if call[0].startswith("POST /v1/chat"):
+            if call[1]["x-correlation-id"] == "r1":
+                await go_on.wait()
+            writer.write(STREAM + chunk(EVENT) + chunk(DONE) + b"0\r\n\r\n")
+        else:
+            writer.write(message("HTTP/1.1 409 Conflict"))
+
+    async def read_and_note(call, writer):
+        if call[0].startswith("POST /v1/chat"):
+            told[call[1]["x-correlation-id"]] = int(call[1]["x-time-left-ms"])
+        await read_it(call, writer)
+
+    async def test():
+        async with desk(tmp_path, read=read_and_note, write=write_first_late) as program:
+            reader, writer = await program.connect()
+            writer.write(chat(id="r1", left=4000) + chat(id="r2", left=4000))
+            await program.writer.wait_for("POST /v1/chat")
+            waits = 0.4
+            await asyncio.sleep(waits)
+            go_on.set()
+            for _ in range(2):
+                assert (await within(read_message(reader)))[0].split()[1] == "200"
+            assert told["r2"] <= 4000 - waits * 1000
+            writer.close()
+    asyncio.run(test())
+
+
+def test_a_body_that_comes_late_counts_from_its_last_byte(tmp_path):
+    async def test():
+        async with desk(tmp_path) as program:
+            reader, writer = await program.connect()
+            data = chat(left=4000)
+            writer.write(data[:-3])
+            await asyncio.sleep(0.5)
+            writer.write(data[-3:])
+            assert (await within(read_message(reader)))[0].split()[1] == "200"
+            (call,) = program.reader.named("POST /v1/chat")
+            assert 3600 < int(call[1]["x-time-left-ms"]) <= 4000
+            assert json.loads(call[2])
+            writer.close()
+    asyncio.run(test())
