--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -151,6 +151,7 @@
     deadline: timedelta
     reads: bool
     connect_within: timedelta | None = None
+    not_after: timedelta | None = None  # it may be written no more from this time on
 
 
 @dataclass(slots=True, frozen=True)
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -291,7 +291,8 @@
             yield ev.Wake(own, ev.AttemptTimeout(action.request, request.taken, index))
         reads = role is api.Role.READ
         connect_within = None if reads else request.held.connect_within(now)
-        yield ev.Forward(action.request, index, endpoint, deadline, reads, connect_within)
+        not_after = None if action.not_after is None else to_span(action.not_after)
+        yield ev.Forward(action.request, index, endpoint, deadline, reads, connect_within, not_after)
         return []
     request.attempts[index].over = True
     return [api.Outcome(action.request, index, action.server, status, 0, request.closed)]
--- a/hoplane/decision/interface.py
+++ b/hoplane/decision/interface.py
@@ -269,11 +269,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    """Send the request to a server; attempts count from 0. `timeout` 0: until the client gives up."""
+    """Send the request to a server; attempts count from 0. `timeout` 0: until the client gives up.
+
+    `not_after`: from this time on it may be written no more, though its connection comes up then."""
 
     request: str
     server: int
     timeout: int = 0
+    not_after: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -434,11 +434,17 @@
         risky = [attempt for attempt in job.attempts if attempt.risky]
         if not risky or cls.effect is Effect.SAFE:
             return True
-        if cls.effect is Effect.UNSAFE or self.now + self.settings.tick >= risky[0].sent + cls.window:
+        if cls.effect is Effect.UNSAFE or self.now >= self.repeat_until(job):
             return False
         same = {Group.ALL: lambda e: 0, Group.ZONE: lambda e: e.zone, Group.CELL: lambda e: e.cell}[cls.group]
         return server is None or all(same(a.server.entry) == same(server.entry) for a in risky)
 
+    def repeat_until(self, job: Job) -> int | None:
+        """Give the end of the time in which servers drop repeats, None where there is no such bound."""
+        risky = [attempt.sent for attempt in job.attempts if attempt.risky]
+        bounded = risky and job.cls.effect is Effect.KEYED
+        return risky[0] + job.cls.window - self.settings.tick if bounded else None
+
     def send(self, job: Job, server: Server, reads: bool) -> bool:
         """Send, unless a rule forbids it: the gate for drains, cold servers, attempts, copies and effects."""
         allowed = server.entry.state is State.LIVE and self.may_send(job, server)
@@ -448,7 +454,8 @@
         held = 0 if reads else job.request.prompt + job.request.max_out
         Attempt(job, len(job.attempts), server, reads, held, unread, self.now).take()
         self.sends[reads].add(self.now)
-        self.actions.append(api.Send(job.request.request, server.entry.server))
+        not_after = None if reads else self.repeat_until(job)
+        self.actions.append(api.Send(job.request.request, server.entry.server, not_after=not_after))
         if reads:
             job.near = server
             self.hold(job)
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -212,8 +212,10 @@
 
     def complete(self, effect: ev.Forward, call: Call, headers: MutableMapping[str, str]) -> None:
         """Tell the time that is left once the connection is up, or withdraw what may not be sent any more."""
-        left = effect.deadline - self.clock.now()
-        if not self.state.takes_work(effect.endpoint.name) or left <= timedelta():
+        now = self.clock.now()
+        left = effect.deadline - now
+        too_late = left <= timedelta() or (effect.not_after is not None and now >= effect.not_after)
+        if too_late or not self.state.takes_work(effect.endpoint.name):
             raise Withdrawn
         if call.time_left:
             headers[call.time_left] = str(max(1, left // timedelta(milliseconds=1)))
--- a/tests/test_rules_kept.py
+++ b/tests/test_rules_kept.py
@@ -322,3 +322,11 @@
     assert not desk.of(api.Hold)
     desk.outcome(status, reader)
     assert desk.of(api.Release) and not desk.ends()
+
+
+def test_a_repeat_tells_until_when_it_may_be_written():
+    desk, writer = keyed(api.Group.ALL, window=2 * S)
+    sent_at = desk.now
+    assert [send.not_after for send in desk.of(api.Send)] == [None], "the first one is no repeat"
+    desk.outcome(Status.RESET, writer, attempt=1)
+    assert [send.not_after for send in desk.of(api.Send)] == [sent_at + 2 * S - 2 * MS]
