Accept all that waits before the listener closes, and heed signals before it opens

Found by reading: `Server.stop` closed the listener half a second after SIGTERM, whatever still waited in its queue; on a busy core those connections were reset over their unread bytes. It now waits, 300 ms at most, until none is left. `Conductor.serve` set its handlers after the server had begun to listen: a SIGTERM between the two ended the process by its default over a connection that may have been taken. Test: tests/test_runtime.py fails without the first; the order of the two lines has none.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -91,8 +91,8 @@
     async def serve(self) -> None:
         """Serve until a signal asks for the end, and then to the end of what was taken."""
         stop = asyncio.Event()
+        signals.heed(stop.set, self.reload)  # first: from its start on the server may have taken a request
         await self.front.server.start()
-        signals.heed(stop.set, self.reload)
         gc.collect()
         gc.freeze()  # what lives from the start to the end need not be looked at again and again
         log.say("started", name=self.config.name, listen="{}:{}".format(*self.config.listen), pid=os.getpid())
--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -18,6 +18,7 @@
 MARGIN = timedelta(milliseconds=20)  # of a client's patience, for the answer's way and a busy loop
 RETURN = timedelta(milliseconds=200)  # the least that a refused client is asked to stay away
 LAST = timedelta(seconds=2)  # for the last bytes to leave
+ACCEPT_LAST = timedelta(milliseconds=300)  # for connections that still wait to be accepted
 AHEAD_PART = 4  # of the memory for bodies, which requests sent ahead of their turn may take
 ACCEPT_MOST, BACKLOG = 16, 512  # connections accepted in a row, and those that may wait for it
 
@@ -205,6 +206,7 @@
         """Take what still comes for a moment, then close what is idle and wait for the rest."""
         self.stopping = True
         await asyncio.sleep(LINGER.total_seconds())
+        await self.accept_all()
         self.listener.close()
         self.door.wind_up()
         while self.open or self.door.busy:
@@ -213,6 +215,13 @@
         while self.door.connections and asyncio.get_running_loop().time() < end:
             await asyncio.sleep(0.005)
 
+    async def accept_all(self) -> None:
+        """Take the connections that still wait to be accepted: closing would reset them over their bytes."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + ACCEPT_LAST.total_seconds()
+        while not self.door.listener.drained and loop.time() < end:
+            await asyncio.sleep(0.005)
+
 
 def target(request: web.BaseRequest) -> str:
     """Give a request's path and query as they came, also where the whole URL was sent."""
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -193,3 +193,21 @@
         except ValueError:
             continue
         raise AssertionError(wrong)
+
+
+def test_the_listener_is_closed_only_when_nobody_waits_to_be_accepted(monkeypatch):
+    monkeypatch.setattr("hoplane.net.server.LINGER", timedelta())
+    monkeypatch.setattr("hoplane.net.server.ACCEPT_LAST", timedelta(seconds=9))
+
+    async def test():
+        told = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": SETTINGS}
+        server, closed = Door(platform(told), None, problem), asyncio.Event()
+        server.listener = SimpleNamespace(close=closed.set)
+        server.door.listener = SimpleNamespace(drained=False)
+        stopping = asyncio.ensure_future(server.stop())
+        await asyncio.sleep(0.03)
+        assert not closed.is_set()
+        server.door.listener.drained = True
+        await within(stopping)
+        assert closed.is_set()
+    asyncio.run(test())
