Name a whole number that is infinite or beyond all measure as a wrong setting

Each setting of the stand-in configuration was replaced by sixteen odd values: an infinite or huge `limits.memory_mb`, `connect_timeout` or `conn_idle` ended the start, or a reload, with an OverflowError from `config.whole`. All other odd values are taken or named.

--- a/hoplane/config.py
+++ b/hoplane/config.py
@@ -15,6 +15,7 @@
 
 MEGABYTE = 1 << 20
 BODY_MOST = 256 * 1024  # the protocol's bound on a body
+WHOLE_MOST = 10**15  # of any whole number that is told: eleven days in nanoseconds
 BASE = 52 * MEGABYTE  # what the program takes with no request open, measured at 48
 
 
@@ -190,10 +191,11 @@
 def whole(raw: dict, key: str, default: int, least: int, where: str = "") -> int:
     """Give a whole number with a least value."""
     value = raw.get(key, default)
-    if not isinstance(value, int | float) or isinstance(value, bool) or value != int(value):
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not number or (isinstance(value, float) and not value.is_integer()):
         raise ConfigError(f"{where}{key}: must be a whole number")
-    if value < least:
-        raise ConfigError(f"{where}{key}: must be at least {least}")
+    if not least <= value <= WHOLE_MOST:
+        raise ConfigError(f"{where}{key}: must be at least {least} and at most {WHOLE_MOST}")
     return int(value)
 
 
