Read the tests that are known to fail from one short, checked and printed list

KNOWN-RED.txt (none now) holds `test | cause | issue`, three lines at most. Its tests have to fail, each run prints them, and a fourth line, a line cut short or a test that is not there fails the run. Test: tests/test_known_red.py.

--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,58 @@
+"""The list of tests that are known to fail is short, true and printed."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from conftest import ROOT
+
+HOOK = (ROOT / "tests" / "conftest.py").read_text()
+TESTS = """
+def test_red():
+    assert False
+
+
+def test_green():
+    assert True
+"""
+
+
+def play(folder: Path, *lines: str) -> subprocess.CompletedProcess:
+    """Run a small suite with a list of its own."""
+    (folder / "tests").mkdir()
+    (folder / "tests" / "conftest.py").write_text(HOOK)
+    (folder / "tests" / "test_it.py").write_text(TESTS)
+    (folder / "KNOWN-RED.txt").write_text("\n".join(lines) + "\n")
+    command = [sys.executable, "-m", "pytest", "-q", "--rootdir", str(folder), str(folder / "tests")]
+    return subprocess.run(command, cwd=folder, env={"PYTHONPATH": str(ROOT)}, capture_output=True, text=True)
+
+
+RED = "tests/test_it.py::test_red | it fails | 10"
+
+
+def test_what_is_listed_may_fail_and_is_printed(tmp_path):
+    run = play(tmp_path, RED)
+    assert run.returncode == 0, run.stdout
+    assert "known red: tests/test_it.py::test_red: it fails (issue 10)" in run.stdout
+    assert "1 passed, 1 xfailed" in run.stdout
+
+
+def test_what_is_listed_must_fail(tmp_path):
+    run = play(tmp_path, RED, "tests/test_it.py::test_green | it passes | 10")
+    assert run.returncode == 1 and "strict" in run.stdout
+
+
+def test_what_is_not_listed_fails_the_run(tmp_path):
+    assert play(tmp_path).returncode == 1
+
+
+@pytest.mark.parametrize("lines", [
+    [RED] * 4,
+    ["tests/test_it.py::test_unknown | it is not there | 10"],
+    ["tests/test_gone.py::test_red | it is not there | 10"],
+    ["tests/test_it.py::test_red | no issue"],
+], ids=["a fourth line", "an unknown test", "an unknown file", "a line cut short"])
+def test_a_list_that_is_wrong_fails_the_run(tmp_path, lines):
+    run = play(tmp_path, *lines)
+    assert run.returncode not in (0, 5) and "KNOWN-RED.txt" in run.stdout + run.stderr
