Look for a client's end before its request is taken where both may have waited

Found by reading: an end is read only after the bytes before it. Faulty lines: `Platform.chat` and `KServe.infer` feed the core in the turn in which the request is read. What may have waited over 30 ms now lets the loop come round first; a client that left ends its handler meanwhile. Test: tests/test_client_gone.py (close, half-close, reset) keeps the loop busy while the client sends and leaves; its three cases fail without the change.

--- a/hoplane/fronts/kserve.py
+++ b/hoplane/fronts/kserve.py
@@ -249,6 +249,7 @@
             asked = read_asked(str(next(self.numbers)), read, len(body), self.classes)
         except ValueError as error:
             return problem(400, str(error), close=True)
+        await self.server.look_for_the_end(request)
         if len(runtime.exchanges) >= self.config.max_open:
             return problem(503, "too much at once", timedelta(seconds=1), close=True)
         exchange = runtime.exchanges[asked.id] = Exchange(request, asked, body)
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -198,6 +198,7 @@
                 return problem(400, "the body must be a JSON object", close=True)
         except orjson.JSONDecodeError:
             return problem(400, "the body is not JSON", close=True)
+        await self.server.look_for_the_end(request)
         runtime = self.runtime
         if asked.id in runtime.exchanges:
             return problem(409, "this id is in use")
--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -19,6 +19,8 @@
 RETURN = timedelta(milliseconds=200)  # the least that a refused client is asked to stay away
 LAST = timedelta(seconds=2)  # for the last bytes to leave
 ACCEPT_LAST = timedelta(milliseconds=300)  # for connections that still wait to be accepted
+GONE_MEANWHILE = timedelta(milliseconds=30)  # what waited longer may come from a client that has left
+TURNS_TO_LEARN = 4  # of the loop: to read the end, to lose the connection, and to cancel the handler
 AHEAD_PART = 4  # of the memory for bodies, which requests sent ahead of their turn may take
 ACCEPT_MOST, BACKLOG = 16, 512  # connections accepted in a row, and those that may wait for it
 
@@ -180,6 +182,15 @@
             since = request.protocol.last_input
         return timedelta(seconds=max(0.0, asyncio.get_running_loop().time() - since))
 
+    @staticmethod
+    async def look_for_the_end(request: web.BaseRequest) -> None:
+        """Let the loop read what lies behind a request that has waited; a client that left ends its handler.
+
+        Guards against work for a client that went long ago: its end is read only after its request."""
+        if Server.waited(request) > GONE_MEANWHILE:
+            for _ in range(TURNS_TO_LEARN):
+                await asyncio.sleep(0)
+
     @staticmethod
     def size(request: web.BaseRequest) -> int:
         """Give how much memory a body may take; one of untold length may take the most."""
--- /dev/null
+++ b/tests/test_client_gone.py
@@ -0,0 +1,64 @@
+"""A client that has left gets no work done for it, also where its end is read behind its request."""
+
+import asyncio
+import socket
+import time
+from types import SimpleNamespace
+
+import pytest
+from standins import SETTINGS, chat, free_port, within
+
+from hoplane.config import platform
+from hoplane.core.events import Asked
+from hoplane.fronts.platform import Platform
+from hoplane.net.arrival import Loop
+
+
+async def what_is_fed(client_does):
+    """Let a client act while the loop is busy, and give what the core is told after that."""
+    address = "127.0.0.1", free_port()
+    told = {"name": "n", "listen": "{}:{}".format(*address), "discovery": "127.0.0.1:1", "settings": SETTINGS}
+    fed = []
+    front = Platform(platform(told), SimpleNamespace(exchanges={}, feed=fed.append))
+    await front.server.start()
+    with socket.create_connection(address) as client:
+        while not front.server.door.connections:
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.01)
+        client_does(client)
+        time.sleep(0.1)  # the loop is busy: the request and the client's end wait side by side
+        for _ in range(50):
+            await asyncio.sleep(0)
+    front.server.listener.close()
+    await within(front.server.door.shutdown(0))
+    return [event for event in fed if isinstance(event, Asked)]
+
+
+def leaves(client):
+    client.sendall(chat())
+    client.close()
+
+
+def ends_its_sending(client):
+    client.sendall(chat())
+    client.shutdown(socket.SHUT_WR)
+
+
+def resets(client):
+    client.sendall(chat())
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    client.close()
+
+
+def run(work):
+    with asyncio.Runner(loop_factory=Loop) as runner:
+        return runner.run(work)
+
+
+@pytest.mark.parametrize("client_does", [leaves, ends_its_sending, resets])
+def test_a_client_that_left_while_its_request_waited_is_not_served(client_does):
+    assert run(what_is_fed(client_does)) == []
+
+
+def test_a_client_that_stays_is_served():
+    assert [asked.id for asked in run(what_is_fed(lambda client: client.sendall(chat())))] == ["r1"]
