Test signals at awkward moments; no fault found

SIGHUP with a file that is missing, cut short, no object, no text or without classes; a second SIGTERM and SIGHUP while a stream is passed on to its end.

--- /dev/null
+++ b/tests/test_signals.py
@@ -0,0 +1,75 @@
+"""Signals at awkward moments: a bad or missing file on SIGHUP, SIGHUP while stopping, a second SIGTERM."""
+
+import asyncio
+import json
+import signal
+
+import pytest
+from standins import DONE, EVENT, STREAM, chat, chunk, message, read_message, within
+from test_platform import desk, write_it
+
+
+def missing(program):
+    program.file.unlink()
+
+
+def cut_short(program):
+    program.file.write_text(json.dumps(program.told)[:-40])
+
+
+def not_an_object(program):
+    program.file.write_text("[1, 2]")
+
+
+def without_classes(program):
+    settings = {**program.told["settings"], "lanes": []}
+    program.file.write_text(json.dumps({**program.told, "settings": settings}))
+
+
+def with_bytes_that_are_no_text(program):
+    program.file.write_bytes(b"\xff\xfe{}")
+
+
+@pytest.mark.parametrize("spoil", [
+    missing, cut_short, not_an_object, without_classes, with_bytes_that_are_no_text,
+])
+def test_a_reload_of_a_bad_file_is_one_line_and_changes_nothing(tmp_path, spoil):
+    async def test():
+        async with desk(tmp_path) as program:
+            spoil(program)
+            program.process.send_signal(signal.SIGHUP)
+            line = await program.line("reload_failed")
+            assert "\n" not in line["error"] and line["error"]
+            assert (await program.ask(chat()))[0].split()[1] == "200"
+            assert not await program.faults()
+            assert sum(each["event"] == "reload_failed" for each in program.log) == 1
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("then", [signal.SIGTERM, signal.SIGHUP])
+def test_a_signal_while_a_stream_is_finished_after_sigterm_ends_nothing(tmp_path, then):
+    go_on = asyncio.Event()
+
+    async def waits(call, writer):
+        if call[0].startswith("POST /v1/chat"):
+            writer.write(STREAM + chunk(EVENT))
+            await go_on.wait()
+            writer.write(chunk(DONE) + b"0\r\n\r\n")
+        else:
+            await write_it(call, writer)
+
+    async def test():
+        async with desk(tmp_path, write=waits) as program:
+            reader, writer = await program.connect()
+            writer.write(chat())
+            await program.writer.wait_for("POST /v1/chat")
+            program.process.terminate()
+            await program.line("stopping")
+            program.process.send_signal(then)
+            late = await program.ask(message("GET /health/ready HTTP/1.1", Host="h"))
+            assert late[0].split()[1] == "503"
+            go_on.set()
+            assert (await within(read_message(reader)))[2] == EVENT + DONE
+            writer.close()
+            assert await within(program.process.wait()) == 0
+    asyncio.run(test())
