Name reservations and releases by the field's terms in the core and the network code

AskHold, HoldAnswered and LetGo are Reserve, ReservationEnded and Release; core/border.py, which turns spans into nanoseconds, is core/units.py. No decision and no line of the log changes.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -40,7 +40,7 @@
         """Put the platform's front and its discovery together."""
         config = self.config
         runtime = Runtime(
-            config, self.pool, platform.hold_path, platform.STATS, platform.read_report
+            config, self.pool, platform.reservation_path, platform.STATS, platform.read_report
         )
         # Guards against requests that take the last descriptor, so that no list comes any more.
         self.pools.append(agent := Pool(config, RESERVED))
--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -72,7 +72,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class HoldAnswered:
+class ReservationEnded:
     """What came of a hold: held, not held, or (None) not known."""
 
     id: str
@@ -133,7 +133,7 @@
     load: dict[str, float]
 
 
-Event = Asked | Left | Began | Ended | HoldAnswered | Due | Listed | Loaded
+Event = Asked | Left | Began | Ended | ReservationEnded | Due | Listed | Loaded
 
 
 # --- effects
@@ -163,7 +163,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class AskHold:
+class Reserve:
     """Ask an endpoint to hold a place, once the reading attempt's last byte is out."""
 
     id: str
@@ -172,7 +172,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class LetGo:
+class Release:
     """Release what is held for a request; any endpoint takes the call, the likeliest come first."""
 
     id: str
@@ -223,4 +223,4 @@
     facts: dict[str, object]
 
 
-Effect = Forward | Abandon | AskHold | LetGo | AskLoad | Refuse | Fail | Wake | Say
+Effect = Forward | Abandon | Reserve | Release | AskLoad | Refuse | Fail | Wake | Say
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -9,10 +9,10 @@
 from zlib import crc32
 
 from hoplane.core import events as ev
-from hoplane.core.border import to_ns, to_span
 from hoplane.core.held import HeldState, Holding
 from hoplane.core.ledger import Ledger
 from hoplane.core.tally import Tally
+from hoplane.core.units import to_ns, to_span
 from hoplane.decision import interface as api
 from hoplane.decision.interface import Status
 from hoplane.decision.rules import Router
@@ -24,7 +24,7 @@
 MAY_HAVE_RUN = (Status.OK, Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 SETTLE = timedelta(milliseconds=15)  # a release waits so long after a read was cut off: the close goes ahead
 BACKSTOP = timedelta(milliseconds=5)  # after the deadline, which the module sees to by itself
-HELD = timedelta(milliseconds=500)  # how long a release is tried where the settings name no limit
+RELEASE_WITHIN = timedelta(milliseconds=500)  # how long a release is tried where the settings name no limit
 
 
 @dataclass(slots=True)
@@ -50,7 +50,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     began: bool = False
     closed: bool = False  # the client has its answer, is getting it, or is gone
-    held_at: int | None = None  # the writer that was asked last
+    reserved_at: int | None = None  # the writer that was asked last
     cut: bool = False  # a read was cut off: what it left may show up a moment later
     may_have_run: bool = False
 
@@ -90,9 +90,12 @@
 
 def reduce(state: Conductor, now: timedelta, event: ev.Event) -> list[ev.Effect]:
     """Take an event in and give the effects that it calls for, in order."""
-    effects = list(HANDLERS[type(event)](state, now, event))
-    # The module may ask for one release twice, at an attempt's end and at the request's: one call is enough.
-    return [each for at, each in enumerate(effects) if type(each) is not ev.LetGo or each not in effects[:at]]
+    effects: list[ev.Effect] = []
+    for effect in HANDLERS[type(event)](state, now, event):
+        # The module may ask for one release twice, at an attempt's end and at the request's: one is enough.
+        if not isinstance(effect, ev.Release) or effect not in effects:
+            effects.append(effect)
+    return effects
 
 
 def decide(state: Conductor, now: timedelta, event: api.Event) -> Iterator[ev.Effect]:
@@ -195,7 +198,7 @@
     yield from sweep_up(state, now, event.id)
 
 
-def on_hold_answered(state: Conductor, now: timedelta, event: ev.HoldAnswered) -> Iterator[ev.Effect]:
+def on_reservation_ended(state: Conductor, now: timedelta, event: ev.ReservationEnded) -> Iterator[ev.Effect]:
     """Tell the module of a place while the read is out; one that comes too late is let go."""
     request = state.requests.get(event.id)
     if request is None:
@@ -206,7 +209,7 @@
     if event.held is not None and not attempt.over:
         yield from decide(state, now, api.Place(event.id, event.attempt, attempt.server, event.held))
     elif left_behind and not request.out:
-        yield let_go(state, request)
+        yield release_effect(state, request)
     yield from sweep_up(state, now, event.id)
 
 
@@ -224,7 +227,7 @@
         yield from abandon(request, timer.attempt, Status.TIMEOUT)
     elif isinstance(timer, ev.ReleaseDue):
         if not request.out and request.held.due is not None and now >= request.held.due:
-            yield let_go(state, request)
+            yield release_effect(state, request)
     elif not request.closed:
         # Guards against a module that forgets a request: its time-outs come first, so this is the last word.
         for index in range(len(request.attempts)):
@@ -264,7 +267,7 @@
 
 HANDLERS: dict[type, Callable[..., Iterable[ev.Effect]]] = {
     ev.Asked: on_asked, ev.Left: on_left, ev.Began: on_began, ev.Ended: on_ended,
-    ev.HoldAnswered: on_hold_answered, ev.Due: on_due, ev.Listed: on_listed,
+    ev.ReservationEnded: on_reservation_ended, ev.Due: on_due, ev.Listed: on_listed,
     ev.Loaded: on_loaded,
 }
 
@@ -298,14 +301,14 @@
     return [api.Outcome(action.request, index, action.server, status, 0, request.closed)]
 
 
-def hold(state: Conductor, now: timedelta, action: api.Hold) -> Iterator[ev.Effect]:
+def reserve(state: Conductor, now: timedelta, action: api.Hold) -> Iterator[ev.Effect]:
     """Ask for a place during the read that is out."""
     request, endpoint = state.requests.get(action.request), state.fleet.get(action.server)
     if request is None or endpoint is None or not request.attempts or request.attempts[-1].over:
         return
     request.held.reservation_sent()
-    request.held_at = action.server
-    yield ev.AskHold(action.request, len(request.attempts) - 1, endpoint)
+    request.reserved_at = action.server
+    yield ev.Reserve(action.request, len(request.attempts) - 1, endpoint)
 
 
 def probe(state: Conductor, now: timedelta, action: api.Probe) -> Iterator[ev.Effect]:
@@ -318,7 +321,7 @@
     """Let go of what is held. A stream that has begun has let go of all by itself."""
     request = state.requests.get(action.request)
     if request is not None and not request.began:
-        yield let_go(state, request)
+        yield release_effect(state, request)
 
 
 def cancel(state: Conductor, now: timedelta, action: api.Cancel) -> Iterator[ev.Effect]:
@@ -347,7 +350,7 @@
 
 
 ACTIONS: dict[type, Callable[..., Iterable[ev.Effect]]] = {
-    api.Hold: hold, api.Probe: probe, api.Release: release, api.Cancel: cancel, api.Refuse: refuse,
+    api.Hold: reserve, api.Probe: probe, api.Release: release, api.Cancel: cancel, api.Refuse: refuse,
     api.Fail: fail,
     api.SetTimer: lambda state, now, action: [ev.Wake(to_span(action.at), action.timer)],
     api.Log: lambda state, now, action: [ev.Say("module", {"text": action.text})],
@@ -365,7 +368,7 @@
         yield ev.Abandon(request.asked.id, index)
 
 
-def let_go(state: Conductor, request: Request) -> ev.LetGo:
+def release_effect(state: Conductor, request: Request) -> ev.Release:
     """Ask for a release: at the endpoint that answered last first, then by turns in every zone.
 
     Any endpoint takes it. Guards against a zone that is cut off: all that had part in a request may be in it,
@@ -374,8 +377,8 @@
     fleet = list(state.fleet)
     start = crc32(request.asked.id.encode()) % max(1, len(fleet))  # lest all routers ask the same one
     had_part = [attempt.server for attempt in reversed(request.attempts)]
-    if request.held_at is not None:
-        had_part.append(request.held_at)
+    if request.reserved_at is not None:
+        had_part.append(request.reserved_at)
     known = (n for n in dict.fromkeys([*had_part, *fleet[start:], *fleet[:start]]) if n in state.fleet)
     order = sorted(known, key=lambda number: last_sign(state, number))
     zones: dict[str | None, list[ev.Endpoint]] = {state.fleet[n].zone: [] for n in order[:1]}
@@ -383,9 +386,9 @@
     for endpoint in (state.fleet[n] for n in order):
         zones.setdefault(endpoint.zone, []).append(endpoint)
     turns = chain.from_iterable(zip_longest(*zones.values()))
-    within = request.held.release_within or HELD
+    within = request.held.release_within or RELEASE_WITHIN
     endpoints = tuple(endpoint for endpoint in turns if endpoint is not None)
-    return ev.LetGo(request.asked.id, endpoints, within, SETTLE if request.cut else ev.ZERO)
+    return ev.Release(request.asked.id, endpoints, within, SETTLE if request.cut else ev.ZERO)
 
 
 def last_sign(state: Conductor, number: int) -> tuple[int, timedelta]:
@@ -402,7 +405,7 @@
     if request is None or request.out:
         return
     if request.held.holding is Holding.HELD and request.closed:
-        yield let_go(state, request)
+        yield release_effect(state, request)
     elif request.held.due is not None:
         yield ev.Wake(request.held.due, ev.ReleaseDue(id, request.taken))
     if not request.closed or request.held.reservations:
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -32,7 +32,7 @@
 LOAD_LINE = re.compile(rb"^: ?" + LOAD.encode() + rb": ?([^\r\n]*)", re.MULTILINE | re.IGNORECASE)
 
 
-def hold_path(id: str) -> str:
+def reservation_path(id: str) -> str:
     """Give the path of the calls that hold a place and release what is held."""
     return f"/v1/holds/{id}"
 
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -29,7 +29,7 @@
 RELEASE_TRY = timedelta(milliseconds=70)  # then another endpoint is asked as well
 UNHEARD = timedelta(milliseconds=500)  # an attempt given up after this casts doubt on kept connections
 PROBE_WAIT = timedelta(milliseconds=250)
-HOLD_WAIT = timedelta(seconds=1)
+RESERVATION_TIMEOUT = timedelta(seconds=1)
 RESERVED = {200: True, 409: False, 404: False}  # what an answer to a reservation call tells; others may hold
 SHORT_WAIT = timedelta(seconds=1)  # for the body of an answer that is no stream
 QUIET = timedelta(seconds=4.8)  # without an event: a client must not be left waiting for 5 s
@@ -53,13 +53,13 @@
     """Holds the one conductor's state, its clock, its connections and what is out."""
 
     def __init__(
-        self, config: Config, pool: Pool, hold_path: Callable[[str], str | None] = nowhere,
+        self, config: Config, pool: Pool, reservation_path: Callable[[str], str | None] = nowhere,
         load_path: str = "", read_report: Callable[[bytes], dict[str, float]] = no_report,
     ) -> None:
         self.config, self.pool, self.clock = config, pool, Clock()
         ledger = Ledger(config.ledger_most, config.ledger_keep)
         self.state = Conductor(config.settings, Router(config.settings, config.seed), ledger)
-        self.hold_path, self.load_path, self.read_report = hold_path, load_path, read_report
+        self.reservation_path, self.load_path, self.read_report = reservation_path, load_path, read_report
         self.loop = asyncio.get_running_loop()
         self.answers = Bodies(config.limits.bodies)
         self.exchanges: dict[str, Exchange] = {}
@@ -70,8 +70,8 @@
         self.queue: deque[ev.Event] = deque()
         self.busy = False
         self.effects = {
-            ev.Forward: self.forward, ev.Abandon: self.abandon, ev.AskHold: self.ask_hold,
-            ev.LetGo: self.let_go, ev.Refuse: self.refuse, ev.Fail: self.fail, ev.Wake: self.wake,
+            ev.Forward: self.forward, ev.Abandon: self.abandon, ev.Reserve: self.reserve,
+            ev.Release: self.release, ev.Refuse: self.refuse, ev.Fail: self.fail, ev.Wake: self.wake,
             ev.AskLoad: lambda effect: self.spawn(self.probe(effect)),
             ev.Say: lambda effect: log.say(effect.event, **effect.facts),
         }
@@ -130,13 +130,13 @@
         if task := self.attempts.get((effect.id, effect.attempt)):
             task.cancel()
 
-    def ask_hold(self, effect: ev.AskHold) -> None:
-        self.spawn(self.hold(effect))
+    def reserve(self, effect: ev.Reserve) -> None:
+        self.spawn(self.make_reservation(effect))
 
-    def let_go(self, effect: ev.LetGo) -> None:
+    def release(self, effect: ev.Release) -> None:
         if last := self.releases.pop(effect.id, None):
             last.cancel()  # the new one releases all that the last one was to release
-        task = self.releases[effect.id] = self.spawn(self.release(effect))
+        task = self.releases[effect.id] = self.spawn(self.send_release(effect))
         task.add_done_callback(lambda task: self.release_ended(effect.id, task))
 
     def release_ended(self, id: str, task: asyncio.Task) -> None:
@@ -311,23 +311,23 @@
         sink.done.add_done_callback(lambda done: self.answers.give(len(data)))
         return bytes(data)
 
-    async def hold(self, effect: ev.AskHold) -> None:
+    async def make_reservation(self, effect: ev.Reserve) -> None:
         """Ask for a place once the read is on its way: before that no endpoint would know of it."""
         held, key = None, (effect.id, effect.attempt)
         try:
-            if (sent := self.sent.get(key)) and (path := self.hold_path(effect.id)):
+            if (sent := self.sent.get(key)) and (path := self.reservation_path(effect.id)):
                 await sent.wait()
                 if prefill := self.attempts.get(key):
-                    held = await self.reserve(effect.endpoint.address, path, prefill)
+                    held = await self.post_reservation(effect.endpoint.address, path, prefill)
         finally:
-            self.feed(ev.HoldAnswered(*key, held))
+            self.feed(ev.ReservationEnded(*key, held))
 
-    async def reserve(self, address: str, path: str, prefill: asyncio.Task) -> bool | None:
+    async def post_reservation(self, address: str, path: str, prefill: asyncio.Task) -> bool | None:
         """Make a reservation call; one that has not been written when the prefill ends is dropped.
 
         Guards against a connection that comes up late: the reservation would be held for nobody."""
         written = asyncio.Event()
-        call = self.loop.create_task(self.pool.call("POST", address, path, HOLD_WAIT, written))
+        call = self.loop.create_task(self.pool.call("POST", address, path, RESERVATION_TIMEOUT, written))
         try:
             await asyncio.wait({call, prefill}, return_when=asyncio.FIRST_COMPLETED)
             if call.done() or written.is_set():
@@ -346,9 +346,9 @@
             load = self.read_report(answer[1]) if status is Status.OK else {}
         self.feed(ev.Loaded(effect.server, status, timedelta(seconds=self.loop.time() - begun), load))
 
-    async def release(self, effect: ev.LetGo) -> None:
+    async def send_release(self, effect: ev.Release) -> None:
         """Call endpoint after endpoint until one has taken the release or its time is over."""
-        path = self.hold_path(effect.id)
+        path = self.reservation_path(effect.id)
         if path is None:
             return
         end = self.loop.time() + effect.within.total_seconds()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -6,9 +6,9 @@
 import pytest
 
 from hoplane.core import events as ev
-from hoplane.core.border import to_ns, to_span
 from hoplane.core.ledger import Ledger
 from hoplane.core.reducer import Conductor, reduce
+from hoplane.core.units import to_ns, to_span
 from hoplane.decision import interface as api
 from hoplane.decision.interface import State, Status
 from hoplane.decision.rules import Router
@@ -55,7 +55,7 @@
     def read(self, id="q", holds=1):
         """Play the read to its end; the writer's attempt is out then."""
         for _ in range(holds):
-            self.do(ev.HoldAnswered(id, 0, None))
+            self.do(ev.ReservationEnded(id, 0, None))
         self.do(ev.Ended(id, 0, Status.MISS), 10 * MS)
         (forward,) = self.of(ev.Forward)
         return forward
@@ -68,32 +68,32 @@
 
 def test_a_request_goes_to_a_reader_with_a_hold_and_then_to_the_writer(core):
     core.ask()
-    (forward,), (hold,) = core.of(ev.Forward), core.of(ev.AskHold)
+    (forward,), (hold,) = core.of(ev.Forward), core.of(ev.Reserve)
     assert forward.endpoint.name == "r" and forward.reads and forward.deadline == core.now + 4 * SECOND
-    core.do(ev.HoldAnswered("q", 0, True), MS)
+    core.do(ev.ReservationEnded("q", 0, True), MS)
     assert core.read(holds=0).endpoint.name == hold.endpoint.name
     core.do(ev.Began("q", 1), MS)
     core.do(ev.Ended("q", 1, Status.OK), SECOND)
-    assert not core.of(ev.LetGo), "a stream that began has let go of all else"
+    assert not core.of(ev.Release), "a stream that began has let go of all else"
     assert not core.state.requests
 
 
 def test_a_hold_not_known_tells_the_module_nothing(core):
     core.ask()
-    assert core.do(ev.HoldAnswered("q", 0, None), MS) == []
+    assert core.do(ev.ReservationEnded("q", 0, None), MS) == []
     core.ask("p")
-    core.do(ev.HoldAnswered("p", 0, False), MS)
-    assert core.of(ev.AskHold), "the next writer is asked after a plain no"
+    core.do(ev.ReservationEnded("p", 0, False), MS)
+    assert core.of(ev.Reserve), "the next writer is asked after a plain no"
 
 
 def test_a_client_that_leaves_during_the_read_has_it_closed_and_then_released(core):
     core.ask()
-    core.do(ev.HoldAnswered("q", 0, True))
+    core.do(ev.ReservationEnded("q", 0, True))
     core.do(ev.Left("q"), MS)
-    assert core.of(ev.Abandon) == [ev.Abandon("q", 0)] and not core.of(ev.LetGo)
+    assert core.of(ev.Abandon) == [ev.Abandon("q", 0)] and not core.of(ev.Release)
     core.do(ev.Ended("q", 0, Status.CANCELLED), MS)
-    (let_go,) = core.of(ev.LetGo)
-    assert let_go.wait > timedelta(), "what a cut read leaves may show up a moment later"
+    (release,) = core.of(ev.Release)
+    assert release.wait > timedelta(), "what a cut read leaves may show up a moment later"
     assert not core.state.requests
 
 
@@ -108,23 +108,23 @@
     for id in ("q", "q2", "q3"):
         core.ask(id)
         core.do(ev.Left(id))
-        core.do(ev.HoldAnswered(id, 0, None))
+        core.do(ev.ReservationEnded(id, 0, None))
         core.do(ev.Ended(id, 0, Status.CANCELLED), 10 * MS)
-        (let_go,) = core.of(ev.LetGo)
-        assert let_go.endpoints[0].name == "r", "the reader that may hold the state"
-        zones = [each.zone for each in let_go.endpoints[:6]]
+        (release,) = core.of(ev.Release)
+        assert release.endpoints[0].name == "r", "the reader that may hold the state"
+        zones = [each.zone for each in release.endpoints[:6]]
         assert zones == [far, near] * 3, "one that can be reached is soon asked, whichever zone is cut off"
-        assert len(set(let_go.endpoints)) == len(servers)
-        seen.add(let_go.endpoints[1].name)
+        assert len(set(release.endpoints)) == len(servers)
+        seen.add(release.endpoints[1].name)
     assert len(seen) > 1, "not the same one by all"
 
 
-def test_a_place_held_after_the_end_is_let_go(core):
+def test_a_place_held_after_the_end_is_release(core):
     core.ask()
     core.do(ev.Left("q"))
     core.do(ev.Ended("q", 0, Status.CANCELLED))
-    core.do(ev.HoldAnswered("q", 0, None), 300 * MS)
-    assert core.of(ev.LetGo) and not core.state.requests
+    core.do(ev.ReservationEnded("q", 0, None), 300 * MS)
+    assert core.of(ev.Release) and not core.state.requests
 
 
 def test_a_stream_ends_with_its_client(core):
@@ -158,14 +158,14 @@
 def test_a_timer_of_an_earlier_request_with_the_same_id_does_nothing(core):
     core.ask()
     timers = [each.timer for each in core.of(ev.Wake)]
-    core.do(ev.HoldAnswered("q", 0, None))
+    core.do(ev.ReservationEnded("q", 0, None))
     core.do(ev.Left("q"))
     core.do(ev.Ended("q", 0, Status.CANCELLED))
     core.ask(after=SECOND)
     core.now += 3 * SECOND
     for timer in timers:
         assert not [each for each in core.do(ev.Due(timer)) if not isinstance(each, ev.Wake)]
-    core.do(ev.HoldAnswered("q", 0, None))
+    core.do(ev.ReservationEnded("q", 0, None))
     assert core.read(holds=0).id == "q", "the module still knows the request"
 
 
@@ -174,7 +174,7 @@
     core.ask("b", "once", once="id")
     assert core.of(ev.Fail)[0].clash and not core.of(ev.Forward), "it is running"
     core.do(ev.Left("a"))
-    core.do(ev.HoldAnswered("a", 0, None))
+    core.do(ev.ReservationEnded("a", 0, None))
     core.do(ev.Ended("a", 0, Status.CANCELLED))
     core.ask("c", "once", once="id")
     assert core.of(ev.Forward), "a read has no effect: it never ran"
--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -9,7 +9,7 @@
 import pytest
 from standins import FACTS, SETTINGS, Server, chat, entry, message, platform, within
 from test_core import MS, SECOND, Core, endpoint
-from test_runtime import let_go, start
+from test_runtime import accept_release, start
 
 from hoplane.core import events as ev
 from hoplane.core.held import HeldState, Holding
@@ -46,7 +46,7 @@
             writer.write(message("HTTP/1.1 202 Accepted", b'{"cached_tokens":0}'))
         else:
             released_at.append(clock())
-            await let_go(call, writer)
+            await accept_release(call, writer)
 
     two_seconds = {"ahead": False, "release_within": 2_000_000_000}
     told = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "connect_timeout": 1_000_000_000},
@@ -80,11 +80,11 @@
             return 200
 
     async def test():
-        async with Server(let_go) as reader, Server(let_go) as writer:
+        async with Server(accept_release) as reader, Server(accept_release) as writer:
             runtime = start(reader, writer)
             pool, runtime.pool = runtime.pool, SlowPool()
             prefill = asyncio.get_running_loop().create_future()
-            reserving = asyncio.ensure_future(runtime.reserve("a:1", "/v1/holds/q", prefill))
+            reserving = asyncio.ensure_future(runtime.post_reservation("a:1", "/v1/holds/q", prefill))
             await asyncio.sleep(0)
             prefill.set_result(None)
             assert await within(reserving) is False
@@ -103,10 +103,10 @@
         await asyncio.Event().wait()
 
     async def test():
-        async with Server(mute) as reader, Server(let_go) as writer:
+        async with Server(mute) as reader, Server(accept_release) as writer:
             runtime = start(reader, writer)
             endpoints = tuple(each for each in runtime.state.fleet.values() if each.name == "r1")
-            runtime.let_go(ev.LetGo("q", endpoints, timedelta(seconds=9)))
+            runtime.release(ev.Release("q", endpoints, timedelta(seconds=9)))
             await within(unheard.wait())
             (release,) = runtime.releases.values()
 
@@ -130,8 +130,8 @@
 
 def test_a_reservation_left_behind_a_release_is_seen_to_though_the_request_goes_on(core):
     request = hold_with_nothing_out(core)
-    core.do(ev.HoldAnswered("q", 0, None), 100 * MS)
-    assert core.of(ev.LetGo) and not request.closed
+    core.do(ev.ReservationEnded("q", 0, None), 100 * MS)
+    assert core.of(ev.Release) and not request.closed
 
 
 def hold_with_nothing_out(core):
@@ -141,7 +141,7 @@
     core.state.router.stranded = lambda job: False  # it waits for a server to come back
     core.do(ev.Ended("q", 0, Status.RESET), 10 * MS)
     request = core.state.requests["q"]
-    assert core.of(ev.LetGo) and not request.out and request.held.reservations == 1
+    assert core.of(ev.Release) and not request.out and request.held.reservations == 1
     return request
 
 
@@ -153,7 +153,7 @@
     for index, attempt in enumerate(core.state.requests["q"].attempts):
         if not attempt.over:
             core.do(ev.Ended("q", index, Status.CANCELLED), MS)
-    (release,) = core.of(ev.LetGo)
+    (release,) = core.of(ev.Release)
     assert release.endpoints[0].name == "r", "it answered last"
     assert release.endpoints[-1] == silent
 
@@ -161,15 +161,15 @@
 def test_what_is_held_is_released_when_due_though_the_decisions_forget_it(core):
     core.ask()
     core.state.router.handle = lambda now, event: []
-    core.do(ev.HoldAnswered("q", 0, None))
+    core.do(ev.ReservationEnded("q", 0, None))
     core.do(ev.Ended("q", 0, Status.MISS), 10 * MS)
     (wake,) = core.of(ev.Wake)
     assert isinstance(wake.timer, ev.ReleaseDue) and wake.at < core.now + 500 * MS
     core.now = wake.at
     core.do(ev.Due(wake.timer))
-    assert core.of(ev.LetGo)
+    assert core.of(ev.Release)
     core.do(ev.Due(wake.timer), MS)
-    assert not core.of(ev.LetGo), "once"
+    assert not core.of(ev.Release), "once"
 
 
 # --- the state machine alone
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -12,7 +12,7 @@
 from hoplane.core.events import Asked, Ended, Left
 from hoplane.decision.interface import KEPT, Status
 from hoplane.fronts.kserve import problem
-from hoplane.fronts.platform import hold_path, read_list
+from hoplane.fronts.platform import read_list, reservation_path
 from hoplane.net.discovery import Discovery
 from hoplane.net.pool import Pool
 from hoplane.net.runtime import Runtime
@@ -20,14 +20,14 @@
 from hoplane.net.wire import Call
 
 
-async def let_go(call, writer):
+async def accept_release(call, writer):
     writer.write(message("HTTP/1.1 204 No Content"))
 
 
 def start(reader, writer, **changes):
     told = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": SETTINGS, **changes}
     config = platform(told)
-    runtime = Runtime(config, Pool(config, config.limits.upstreams), hold_path)
+    runtime = Runtime(config, Pool(config, config.limits.upstreams), reservation_path)
     entries = [entry("r1", reader.address, "prefill"), entry("w1", writer.address, "decode")]
     runtime.feed(read_list({"index": 1, "snapshot": True, "endpoints": entries}))
     return runtime
@@ -35,7 +35,7 @@
 
 def test_an_attempt_given_up_before_its_first_step_still_ends():
     async def test():
-        async with Server(let_go) as reader, Server(let_go) as writer:
+        async with Server(accept_release) as reader, Server(accept_release) as writer:
             runtime = start(reader, writer)
             runtime.exchanges["q"] = None
             runtime.feed(Asked("q", "lookup", 100, 20, timedelta(seconds=3), session="s"))
@@ -60,7 +60,7 @@
 
 def test_connections_are_bounded_and_idle_ones_give_way():
     async def test():
-        async with Server(let_go) as reader, Server(let_go) as writer:
+        async with Server(accept_release) as reader, Server(accept_release) as writer:
             runtime = start(reader, writer, limits={"sockets": 64, "memory_mb": 96})
             pool, second = runtime.pool, timedelta(seconds=5)
             assert pool.most == 27
@@ -74,7 +74,7 @@
 
 def test_closed_connections_take_no_place():
     async def test():
-        async with Server(let_go) as reader, Server(let_go) as writer:
+        async with Server(accept_release) as reader, Server(accept_release) as writer:
             pool = start(reader, writer, limits={"sockets": 64, "memory_mb": 96}).pool
             second = timedelta(seconds=5)
             closed = [pool.open((socket.AF_INET, socket.SOCK_STREAM, 0)) for _ in range(pool.most)]
@@ -89,10 +89,10 @@
     async def mute(call, writer):
         if call[0].startswith("POST"):
             await asyncio.Event().wait()
-        await let_go(call, writer)
+        await accept_release(call, writer)
 
     async def test():
-        async with Server(mute) as reader, Server(let_go) as writer:
+        async with Server(mute) as reader, Server(accept_release) as writer:
             runtime = start(reader, writer)
             pool, second = runtime.pool, timedelta(seconds=5)
             for server in (reader, writer):
@@ -119,10 +119,10 @@
         if broken.is_set():
             writer.transport.abort()
         else:
-            await let_go(call, writer)
+            await accept_release(call, writer)
 
     async def test():
-        async with Server(drops) as reader, Server(let_go) as writer:
+        async with Server(drops) as reader, Server(accept_release) as writer:
             runtime = start(reader, writer)
             pool, ended = runtime.pool, []
             reduced, runtime.feed = runtime.feed, lambda event: (ended.append(event), reduced(event))
@@ -151,12 +151,12 @@
     async def answers(call, writer):
         if mute.is_set():
             await asyncio.Event().wait()
-        await let_go(call, writer)
+        await accept_release(call, writer)
         if call[0].startswith("GET"):
             writer.close()  # right behind the answer, as what is idle is closed
 
     async def test():
-        async with Server(answers) as reader, Server(let_go) as writer:
+        async with Server(answers) as reader, Server(accept_release) as writer:
             pool, second = start(reader, writer).pool, timedelta(seconds=5)
 
             async def calls(method, within_s=second):
