Leave the first decode server its try where the release time is very short

Found by reading: since the time is looked at before the next server is tried, a release time under 100 ms let go of each state the moment it was there, and a told time of zero bounded each connection to a millisecond. `Router.advance` now waits half of a short time, and zero is no bound. Tests: tests/test_held_state.py; release times of 1 and 40 ms and of zero fail without it.

--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -125,7 +125,7 @@
     if once:
         state.ledger.start(once)
     release_within = state.settings.release_within
-    held = HeldState(None if release_within is None else to_span(release_within))
+    held = HeldState(to_span(release_within) if release_within else None)
     state.requests[event.id] = Request(event, now, now + event.patience, held)
     state.tally.add("asked")
     yield ev.Wake(now + event.patience + BACKSTOP, ev.Deadline(event.id, now))
--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -343,7 +343,8 @@
         """Take the next step of the path, wait for one, or end the request."""
         spent = self.now >= job.deadline - self.settings.tick or not self.may_send(job, None)
         over = spent or self.stranded(job)
-        due = job.state_since + (self.settings.release_within or IDLE) - 2 * SWEEP  # a state waits until then
+        within = self.settings.release_within or IDLE
+        due = job.state_since + max(within // 2, within - 2 * SWEEP)  # a state waits until then
         if not over and job.state_at is not None and self.now > due:
             self.release(job)
         elif not over and job.state_at is None and self.late(job):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -30,8 +30,9 @@
 
 
 class Core:
-    def __init__(self):
-        self.state = Conductor(SETTINGS, Router(SETTINGS, 1), Ledger(9, 10 * 60 * SECOND))
+    def __init__(self, **changes):
+        settings = replace(SETTINGS, **changes)
+        self.state = Conductor(settings, Router(settings, 1), Ledger(9, 10 * 60 * SECOND))
         self.now = 1000 * SECOND
         fleet = endpoint("r", "reader"), endpoint("w", "writer"), endpoint("w2", "writer")
         self.do(ev.Listed(fleet, True))
--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 import pytest
+from conftest import Desk
 from standins import FACTS, SETTINGS, Server, chat, entry, message, platform, within
 from test_core import MS, SECOND, Core, endpoint
 from test_runtime import accept_release, start
@@ -225,3 +226,17 @@
     desk.outcome(Status.MISS, desk.sent()[0])
     desk.outcome(Status.FULL, desk.sent()[0], attempt=1, note=1)
     assert desk.of(api.Release) == [api.Release("r")]
+
+
+def test_a_release_time_of_zero_bounds_no_connection():
+    core = Core(release_within=0)
+    core.ask()
+    assert core.read().connect_within is None
+
+
+@pytest.mark.parametrize("within", [0, 1, 40, 100])
+def test_a_short_release_time_leaves_the_first_decode_server_its_try(within):
+    desk = Desk(release_within=within * 1_000_000)
+    desk.ask()
+    desk.outcome(Status.MISS, desk.sent()[0])
+    assert len(desk.sent()) == 1 and not desk.of(api.Release)
