Keep shared test stand-ins in standins.py and core_driver.py, each once

The stand-in endpoints, the late listener, the paused stream and the drivers of the core and the runtime stood in the test files that used them first, or twice. No assertion changes.

--- /dev/null
+++ b/tests/core_driver.py
@@ -0,0 +1,76 @@
+"""Drives the core without sockets: the reducer with its clock, and a runtime in this process."""
+
+from dataclasses import replace
+from datetime import timedelta
+
+from standins import SETTINGS as PLATFORM_SETTINGS
+from standins import entry
+
+from hoplane.config import platform
+from hoplane.core import events as ev
+from hoplane.core.ledger import Ledger
+from hoplane.core.reducer import Conductor, reduce
+from hoplane.decision import interface as api
+from hoplane.decision.interface import State, Status
+from hoplane.decision.rules import Router
+from hoplane.fronts.platform import read_list, reservation_path
+from hoplane.net.pool import Pool
+from hoplane.net.runtime import Runtime
+
+MS, SECOND = timedelta(milliseconds=1), timedelta(seconds=1)
+SETTINGS = api.Settings(
+    kinds=(api.KindSettings("reader", api.Role.READ), api.KindSettings("writer", api.Role.WRITE)),
+    classes=(
+        api.ClassSettings("safe", 10**9, 4 * 10**9, api.Effect.SAFE),
+        api.ClassSettings("once", 10**9, 4 * 10**9, api.Effect.UNSAFE),
+    ),
+    cancel=True, ahead=True, retry_after=True, max_retry_after=10**9, release_within=500_000_000,
+    tick=2_000_000,
+)
+
+
+def endpoint(name, kind, state=State.LIVE):
+    return ev.Endpoint(name, f"{name}:1", "z", kind, 0, state)
+
+
+class Core:
+    def __init__(self, **changes):
+        settings = replace(SETTINGS, **changes)
+        self.state = Conductor(settings, Router(settings, 1), Ledger(9, 10 * 60 * SECOND))
+        self.now = 1000 * SECOND
+        fleet = endpoint("r", "reader"), endpoint("w", "writer"), endpoint("w2", "writer")
+        self.do(ev.Listed(fleet, True))
+
+    def do(self, event, after=timedelta()):
+        self.now += after
+        self.effects = reduce(self.state, self.now, event)
+        return self.effects
+
+    def of(self, kind):
+        return [each for each in self.effects if isinstance(each, kind)]
+
+    def ask(self, id="q", cls="safe", after=timedelta(), **more):
+        return self.do(ev.Asked(id, cls, 2000, 100, 4 * SECOND, session="s", **more), after)
+
+    def deadline(self):
+        """Give the core's own timer of the request just asked; the module's are numbers."""
+        (wake,) = (each for each in self.of(ev.Wake) if not isinstance(each.timer, int))
+        return wake
+
+    def read(self, id="q", holds=1):
+        """Play the read to its end; the writer's attempt is out then."""
+        for _ in range(holds):
+            self.do(ev.ReservationEnded(id, 0, None))
+        self.do(ev.Ended(id, 0, Status.MISS), 10 * MS)
+        (forward,) = self.of(ev.Forward)
+        return forward
+
+
+def start(reader, writer, **changes):
+    """Give a runtime that knows a reader and a writer."""
+    addresses = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1"}
+    config = platform({"name": "n", **addresses, "settings": PLATFORM_SETTINGS, **changes})
+    runtime = Runtime(config, Pool(config, config.limits.upstreams), reservation_path)
+    entries = [entry("r1", reader.address, "prefill"), entry("w1", writer.address, "decode")]
+    runtime.feed(read_list({"index": 1, "snapshot": True, "endpoints": entries}))
+    return runtime
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -222,3 +222,91 @@
 def chat(id="r1", cls="lookup", left=4000, body=b'{"stream":true}', facts=FACTS, query=""):
     return message(f"POST /v1/chat/completions{query} HTTP/1.1", body, Host="h", X_Correlation_Id=id,
                    X_Service_Class=cls, X_Time_Left_Ms=left, X_Facts=facts, X_Session_Key="s")
+
+
+async def read_it(call, writer):
+    """Play a reader that reads, holds nothing and lets everything go."""
+    if call[0].startswith("POST /v1/chat"):
+        writer.write(message("HTTP/1.1 202 Accepted", b'{"cached_tokens":4}'))
+    else:
+        writer.write(message("HTTP/1.1 204 No Content"))
+
+
+async def write_it(call, writer):
+    """Play a writer that streams an answer."""
+    if call[0].startswith("POST /v1/chat"):
+        writer.write(STREAM + chunk(EVENT) + chunk(USAGE + DONE) + b"0\r\n\r\n")
+    else:
+        writer.write(message("HTTP/1.1 409 Conflict"))
+
+
+async def hang(call, writer):
+    await asyncio.Event().wait()
+
+
+async def never_read(call, writer):
+    """Play a reader that never ends a read, and answers all else."""
+    await (hang if call[0].startswith("POST /v1/chat") else read_it)(call, writer)
+
+
+@asynccontextmanager
+async def desk(tmp_path, read=read_it, write=write_it, **changes):
+    async with Server(read) as reader, Server(write) as writer:
+        entries = [entry("r1", reader.address, "prefill"), entry("w1", writer.address, "decode")]
+        async with platform(tmp_path, entries, **changes) as program:
+            program.reader, program.writer, program.entries = reader, writer, entries
+            yield program
+
+def paused_stream(go_on):
+    """Give a writer that streams an event, and the rest of its answer when it may go on."""
+    async def play(call, writer):
+        if call[0].startswith("POST /v1/chat"):
+            writer.write(STREAM + chunk(EVENT))
+            await go_on.wait()
+            writer.write(chunk(DONE) + b"0\r\n\r\n")
+        else:
+            await write_it(call, writer)
+
+    return play
+
+
+async def accept_release(call, writer):
+    """Play an endpoint that lets everything go."""
+    writer.write(message("HTTP/1.1 204 No Content"))
+
+
+class LateListener:
+    """An address whose connections come up when it is opened: till then the listener's queue is full."""
+
+    def __init__(self):
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.listener.setblocking(False)
+        self.address = "{}:{}".format(*self.listener.getsockname())
+        self.fillers = [socket.socket() for _ in range(4)]
+        for filler in self.fillers:
+            filler.setblocking(False)
+            filler.connect_ex(self.listener.getsockname())
+
+    def close(self):
+        """Close all of it."""
+        for each in (*self.fillers, self.listener):
+            each.close()
+
+    async def open(self, serve):
+        """Let connections come up, and serve them."""
+        while True:
+            try:
+                accepted, _ = self.listener.accept()
+                accepted.close()
+            except BlockingIOError:
+                break
+        for filler in self.fillers:
+            filler.close()
+        return await asyncio.start_server(serve, sock=self.listener)
+
+
+def run(test):
+    """Run a test to its end, in a minute at most."""
+    asyncio.run(within(test, 60))
--- a/tests/test_bad_peers.py
+++ b/tests/test_bad_peers.py
@@ -4,9 +4,23 @@
 import time
 
 import pytest
-from standins import EVENT, STREAM, USAGE, Server, chat, chunk, entry, message, read_message
+from standins import (
+    EVENT,
+    STREAM,
+    USAGE,
+    Server,
+    chat,
+    chunk,
+    desk,
+    entry,
+    hang,
+    message,
+    never_read,
+    read_message,
+    run,
+    write_it,
+)
 from test_kserve import ANSWER, assignment, infer, sidecar, status
-from test_platform import desk, hang, never_read, run, write_it
 
 HEAD, _, BODY = chat().partition(b"\r\n\r\n")
 BARE = HEAD.replace(b"\r\nContent-Length: 15", b"")
--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -1,16 +1,24 @@
 """What is held for a request is released in time, whatever fails on the way; each bad order is forced."""
 
 import asyncio
-import socket
 import time
-from contextlib import AsyncExitStack, asynccontextmanager
 from datetime import timedelta
 
 import pytest
 from conftest import Desk
-from standins import FACTS, SETTINGS, Server, chat, entry, message, platform, within
-from test_core import MS, SECOND, Core, endpoint
-from test_runtime import accept_release, start
+from core_driver import MS, SECOND, Core, endpoint, start
+from standins import (
+    FACTS,
+    SETTINGS,
+    LateListener,
+    Server,
+    accept_release,
+    chat,
+    entry,
+    message,
+    platform,
+    within,
+)
 
 from hoplane.core import events as ev
 from hoplane.core.held import HeldState, Holding
@@ -21,23 +29,6 @@
 OUT_OF_TIME = (Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 
 
-@asynccontextmanager
-async def never_comes_up():
-    """Give an address where connections stay on their way: the listener's queue is full."""
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        listener.listen(0)
-        fillers = [socket.socket() for _ in range(4)]
-        try:
-            for filler in fillers:
-                filler.setblocking(False)
-                filler.connect_ex(listener.getsockname())
-            yield "{}:{}".format(*listener.getsockname())
-        finally:
-            for filler in fillers:
-                filler.close()
-
-
 def test_connections_that_never_come_up_leave_the_state_no_longer_than_told(tmp_path):
     clock, read_at, released_at = time.monotonic, [], []
 
@@ -54,15 +45,17 @@
             "family_info": {**SETTINGS["family_info"], **two_seconds}}
 
     async def test():
-        async with Server(read) as reader, AsyncExitStack() as stack:
-            addresses = [await stack.enter_async_context(never_comes_up()) for _ in range(3)]
-            writers = [entry(f"w{n}", address, "decode") for n, address in enumerate(addresses)]
+        async with Server(read) as reader:
+            listeners = [LateListener() for _ in range(3)]  # they never come up
+            writers = [entry(f"w{n}", each.address, "decode") for n, each in enumerate(listeners)]
             entries = [entry("r", reader.address, "prefill"), *writers]
             async with platform(tmp_path, entries, settings=told) as program:
                 first, _, _ = await program.ask(chat(facts=FACTS))
                 assert first.split()[1] == "503"
                 await reader.wait_for("DELETE /v1/holds/r1")
                 assert len(read_at) == 1 and released_at[0] - read_at[0] < 2.0
+            for each in listeners:
+                each.close()
     asyncio.run(test())
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 import signal
-from contextlib import asynccontextmanager, suppress
+from contextlib import suppress
 from socket import SO_ERROR, SOL_SOCKET
 
 import pytest
@@ -18,53 +18,22 @@
     Server,
     chat,
     chunk,
+    desk,
     entry,
     free_port,
+    hang,
     message,
+    never_read,
+    paused_stream,
     platform,
+    read_it,
     read_message,
+    run,
     within,
+    write_it,
 )
 
 
-async def read_it(call, writer):
-    """Play a reader that reads, holds nothing and lets everything go."""
-    if call[0].startswith("POST /v1/chat"):
-        writer.write(message("HTTP/1.1 202 Accepted", b'{"cached_tokens":4}'))
-    else:
-        writer.write(message("HTTP/1.1 204 No Content"))
-
-
-async def write_it(call, writer):
-    """Play a writer that streams an answer."""
-    if call[0].startswith("POST /v1/chat"):
-        writer.write(STREAM + chunk(EVENT) + chunk(USAGE + DONE) + b"0\r\n\r\n")
-    else:
-        writer.write(message("HTTP/1.1 409 Conflict"))
-
-
-async def hang(call, writer):
-    await asyncio.Event().wait()
-
-
-async def never_read(call, writer):
-    """Play a reader that never ends a read, and answers all else."""
-    await (hang if call[0].startswith("POST /v1/chat") else read_it)(call, writer)
-
-
-@asynccontextmanager
-async def desk(tmp_path, read=read_it, write=write_it, **changes):
-    async with Server(read) as reader, Server(write) as writer:
-        entries = [entry("r1", reader.address, "prefill"), entry("w1", writer.address, "decode")]
-        async with platform(tmp_path, entries, **changes) as program:
-            program.reader, program.writer, program.entries = reader, writer, entries
-            yield program
-
-
-def run(test):
-    asyncio.run(within(test, 60))
-
-
 def test_a_request_is_read_then_written_and_its_events_pass_unchanged(tmp_path):
     desks = []
 
@@ -243,16 +212,8 @@
 def test_sigterm_finishes_what_was_taken_and_turns_off_keep_alive(tmp_path):
     go_on = asyncio.Event()
 
-    async def waits(call, writer):
-        if call[0].startswith("POST /v1/chat"):
-            writer.write(STREAM + chunk(EVENT))
-            await go_on.wait()
-            writer.write(chunk(DONE) + b"0\r\n\r\n")
-        else:
-            await write_it(call, writer)
-
     async def test():
-        async with desk(tmp_path, write=waits) as program:
+        async with desk(tmp_path, write=paused_stream(go_on)) as program:
             idle_reader, idle_writer = await program.connect()
             idle_writer.write(message("GET /health/ready HTTP/1.1", Host="h"))
             assert (await within(read_message(idle_reader)))[0].split()[1] == "200"
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -6,33 +6,19 @@
 from datetime import timedelta
 from types import SimpleNamespace
 
-from standins import SETTINGS, Server, entry, message, within
+from core_driver import start
+from standins import SETTINGS, Server, accept_release, entry, within
 
 from hoplane.config import platform
 from hoplane.core.events import Asked, Ended, Left
 from hoplane.decision.interface import KEPT, Status
 from hoplane.fronts.kserve import problem
-from hoplane.fronts.platform import read_list, reservation_path
+from hoplane.fronts.platform import read_list
 from hoplane.net.discovery import Discovery
-from hoplane.net.pool import Pool
-from hoplane.net.runtime import Runtime
 from hoplane.net.server import Server as Door
 from hoplane.net.wire import Call
 
 
-async def accept_release(call, writer):
-    writer.write(message("HTTP/1.1 204 No Content"))
-
-
-def start(reader, writer, **changes):
-    told = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": SETTINGS, **changes}
-    config = platform(told)
-    runtime = Runtime(config, Pool(config, config.limits.upstreams), reservation_path)
-    entries = [entry("r1", reader.address, "prefill"), entry("w1", writer.address, "decode")]
-    runtime.feed(read_list({"index": 1, "snapshot": True, "endpoints": entries}))
-    return runtime
-
-
 def test_an_attempt_given_up_before_its_first_step_still_ends():
     async def test():
         async with Server(accept_release) as reader, Server(accept_release) as writer:
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -5,8 +5,7 @@
 import signal
 
 import pytest
-from standins import DONE, EVENT, STREAM, chat, chunk, message, read_message, within
-from test_platform import desk, write_it
+from standins import DONE, EVENT, chat, desk, message, paused_stream, read_message, within
 
 
 def missing(program):
@@ -50,16 +49,8 @@
 def test_a_signal_while_a_stream_is_finished_after_sigterm_ends_nothing(tmp_path, then):
     go_on = asyncio.Event()
 
-    async def waits(call, writer):
-        if call[0].startswith("POST /v1/chat"):
-            writer.write(STREAM + chunk(EVENT))
-            await go_on.wait()
-            writer.write(chunk(DONE) + b"0\r\n\r\n")
-        else:
-            await write_it(call, writer)
-
     async def test():
-        async with desk(tmp_path, write=waits) as program:
+        async with desk(tmp_path, write=paused_stream(go_on)) as program:
             reader, writer = await program.connect()
             writer.write(chat())
             await program.writer.wait_for("POST /v1/chat")
--- a/tests/test_time_left.py
+++ b/tests/test_time_left.py
@@ -13,47 +13,23 @@
     EVENT,
     SETTINGS,
     STREAM,
+    LateListener,
     Server,
     chat,
     chunk,
+    desk,
     entry,
     message,
     platform,
+    read_it,
     read_message,
     within,
+    write_it,
 )
-from test_platform import desk, read_it, write_it
 
 from hoplane.net.arrival import Listener, Loop, input_since, looks
 
 
-class GatedSocket:
-    """An address whose connections come up when it is opened: till then the listener's queue is full."""
-
-    def __init__(self):
-        self.listener = socket.socket()
-        self.listener.bind(("127.0.0.1", 0))
-        self.listener.listen(0)
-        self.listener.setblocking(False)
-        self.address = "{}:{}".format(*self.listener.getsockname())
-        self.fillers = [socket.socket() for _ in range(4)]
-        for filler in self.fillers:
-            filler.setblocking(False)
-            filler.connect_ex(self.listener.getsockname())
-
-    async def open(self, serve):
-        """Let connections come up, and serve them."""
-        while True:
-            try:
-                accepted, _ = self.listener.accept()
-                accepted.close()
-            except BlockingIOError:
-                break
-        for filler in self.fillers:
-            filler.close()
-        return await asyncio.start_server(serve, sock=self.listener)
-
-
 def patient(**allowed):
     """Give settings under which a connection may take three seconds to come up, and a server be silent."""
     lanes = [{**lane, "target": 8_000_000_000, "hard_limit": 20_000_000_000} for lane in SETTINGS["lanes"]]
@@ -72,7 +48,7 @@
                 await read_it(call, writer)
 
     async def test():
-        gate = GatedSocket()
+        gate = LateListener()
         async with Server(write_it) as writer:
             entries = [entry("r1", gate.address, "prefill"), entry("w1", writer.address, "decode")]
             async with platform(tmp_path, entries, settings=patient()) as program:
@@ -95,7 +71,7 @@
                 await read_it(call, writer)
 
     async def test():
-        gate = GatedSocket()
+        gate = LateListener()
         async with Server(read_it) as other, Server(write_it) as writer:
             entries = [entry("r1", gate.address, "prefill"), entry("w1", writer.address, "decode")]
             async with platform(tmp_path, entries, settings=patient()) as program:
@@ -134,7 +110,7 @@
     told["family_info"] = {**told["family_info"], "ahead": False, "release_within": 9_000_000_000}
 
     async def test():
-        gate = GatedSocket()
+        gate = LateListener()
         async with Server(read_it) as reader, Server(breaks) as writer:
             far = {**entry("w2", gate.address, "decode"), "group": 2}
             entries = [entry("r1", reader.address, "prefill"), entry("w1", writer.address, "decode"), far]
