--- a/tests/standins.py
+++ b/tests/standins.py
@@ -59,6 +59,7 @@
 
     def __init__(self, play):
         self.play, self.calls, self.came, self.closed = play, [], asyncio.Condition(), asyncio.Queue()
+        self.open = set()  # transports of the connections that are open
 
     async def __aenter__(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -69,6 +70,7 @@
         self.server.close()
 
     async def serve(self, reader, writer):
+        self.open.add(writer.transport)
         try:
             while call := await read_message(reader):
                 async with self.came:
@@ -86,6 +88,7 @@
                 if writer.is_closing():
                     return
         finally:
+            self.open.discard(writer.transport)
             writer.close()
 
     def named(self, start):
@@ -112,6 +115,18 @@
         body = {"index": self.index, "snapshot": since == 0, "endpoints": self.entries}
         writer.write(message("HTTP/1.1 200 OK", json.dumps(body).encode()))
 
+    async def lose(self):
+        """Refuse connections and break those that are open; gives what brings it back at its address."""
+        host, port = self.address.split(":")
+        self.server.close()
+        for transport in list(self.open):
+            transport.abort()
+
+        async def come_back():
+            self.server = await asyncio.start_server(self.serve, host, int(port))
+
+        return come_back
+
     async def tell(self, entries):
         async with self.changed:
             self.entries, self.index = entries, self.index + 1
@@ -183,6 +198,11 @@
         new.rename(self.file)
         self.process.send_signal(signal.SIGHUP)
 
+    @property
+    def log_pipe(self):
+        """The reading end of the pipe that is the program's standard error."""
+        return self.process._transport.get_pipe_transport(2)
+
     async def stop(self):
         self.process.send_signal(signal.SIGTERM)
         return await within(self.process.wait())
@@ -209,11 +229,11 @@
 
 
 @asynccontextmanager
-async def started(*arguments, address, **environ):
+async def started(*arguments, address, module="hoplane", **environ):
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "hoplane",
+        module,
         *arguments,
         env={**os.environ, **environ},
         stderr=asyncio.subprocess.PIPE,
@@ -230,8 +250,10 @@
 
 
 @asynccontextmanager
-async def platform(tmp_path, entries, **changes):
-    """Start the program as the platform does, before a discovery that lists the entries."""
+async def platform(tmp_path, entries, plan=None, **changes):
+    """Start the program as the platform does, before a discovery that lists the entries.
+
+    `plan`: the system calls of the program that fail (hoplane.emulator.failing_calls)."""
     address = f"127.0.0.1:{free_port()}"
     async with Discovery(entries) as discovery:
         told = {
@@ -246,7 +268,10 @@
         }
         file = tmp_path / "config.json"
         file.write_text(json.dumps(told))
-        async with started(address=address, EDGE_CONFIG=str(file)) as program:
+        environ = {"EDGE_CONFIG": str(file)}
+        if plan is not None:
+            environ |= {"module": "hoplane.emulator.failing_calls", "HOPLANE_FAULT_PLAN": json.dumps(plan)}
+        async with started(address=address, **environ) as program:
             program.discovery, program.file, program.told = discovery, file, told
             yield program
 
