Write the log from a thread with a bounded buffer, and supervise long-lived tasks

Cause: log.say called os.write on descriptor 2 in its caller: it raised EPIPE into Discovery.watch's except clause (net/discovery.py, the line discovery_lost), whose task nobody looked at, and blocked the event loop on a full pipe. Now LogWriter queues up to 256 KiB and a daemon thread writes; what does not fit is counted and told by log_lost; half writes go on; ENOSPC, EIO and their like are tried again; the last lines are flushed within 0.5 s. The same mistake elsewhere: the watch of either front and the collection of garbage were tasks without an owner; Supervisor logs, counts and restarts them. A line with facts that JSON cannot hold no longer raises.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -22,6 +22,7 @@
 from hoplane.net.discovery import Discovery
 from hoplane.net.pool import KEPT_FOR_RELEASES, RESERVED, Pool
 from hoplane.net.runtime import Runtime
+from hoplane.net.supervisor import Supervisor
 
 TIDY = timedelta(seconds=10)  # between collections of garbage, which take 5 to 8 ms
 
@@ -34,7 +35,7 @@
         self.pool = Pool(config, config.limits.upstreams, KEPT_FOR_RELEASES)
         self.pools = [self.pool]
         self.front, self.watch = self.beside() if config.files else self.on_platform()
-        self.watching = asyncio.create_task(self.watch.watch())
+        self.watching = Supervisor("watch", self.watch.watch)
 
     def on_platform(self) -> tuple[platform.Platform, Discovery]:
         """Put the platform's front and its discovery together."""
@@ -68,8 +69,8 @@
         except ConfigError as error:
             log.say("reload_failed", error=str(error))
             return
-        self.watching.cancel()
-        self.watch, self.watching = watch, asyncio.create_task(watch.watch())
+        self.watching.stop()
+        self.watch, self.watching = watch, Supervisor("watch", watch.watch)
         self.front.server.resize(new.limits)
         self.pool.most = new.limits.upstreams
         known = (*configuration.RELOADED, *configuration.IGNORED)
@@ -95,15 +96,15 @@
         gc.collect()
         gc.freeze()  # what lives from the start to the end need not be looked at again and again
         log.say("started", name=self.config.name, listen="{}:{}".format(*self.config.listen), pid=os.getpid())
-        tidying = asyncio.create_task(self.tidy())
+        tidying = Supervisor("tidy", self.tidy)
         await stop.wait()
         log.say("stopping", open=self.front.server.open)
         await self.front.server.stop()
         for runtime in self.front.runtimes:
             await runtime.rest()
         signals.ignore_reload()
-        tidying.cancel()
-        self.watching.cancel()
+        tidying.stop()
+        self.watching.stop()
         for pool in self.pools:
             await pool.close()
         log.say("stopped")
@@ -131,6 +132,8 @@
     except ConfigError as error:
         log.say("bad_configuration", error=str(error))
         return 2
+    finally:
+        log.flush()
     return 0
 
 
--- a/hoplane/log.py
+++ b/hoplane/log.py
@@ -1,22 +1,38 @@
-"""The log: one JSON line an event, on standard error."""
+"""The log: one JSON line an event, on standard error. No call here blocks on the reader or raises."""
 
 from __future__ import annotations
 
 import logging
-import os
 import time
 from datetime import UTC, datetime, timedelta
 
 import orjson
 
+from hoplane.log_writer import LogWriter
+
+STANDARD_ERROR = 2
+FLUSH_WITHIN = timedelta(milliseconds=500)  # for the last lines at the end, if the reader stands still
+EVERY = timedelta(seconds=1)  # between two lines of an event that is told seldom
+
+
+def encode(event: str, facts: dict[str, object]) -> bytes:
+    """Give a line; facts that JSON has no form for are given as Python writes them."""
+    line = {"at": datetime.now(UTC), "event": event, **facts}
+    try:
+        return orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE)
+    except (TypeError, ValueError):
+        line = {"at": datetime.now(UTC), "event": event, "facts": ascii(facts)}
+        return orjson.dumps(line, option=orjson.OPT_APPEND_NEWLINE)
+
+
+writer = LogWriter(STANDARD_ERROR, lambda lost: encode("log_lost", {"lines": lost}))
+
 
 def say(event: str, **facts: object) -> None:
     """Write a line; the page docs/on-call.md tells what each event means."""
-    line = {"at": datetime.now(UTC), "event": event, **facts}
-    os.write(2, orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
+    writer.put(encode(event, facts))
 
 
-EVERY = timedelta(seconds=1)
 lately: dict[str, tuple[float, int]] = {}  # by event: when it was said last, and how many came since
 
 
@@ -32,9 +48,18 @@
     say(event, **facts, **({"more": more} if more else {}))
 
 
+def flush() -> None:
+    """Wait for the last lines to leave, for a bounded time."""
+    writer.flush(FLUSH_WITHIN)
+
+
 class Lines(logging.Handler):
     """Writes what the libraries log as lines of the same kind."""
 
     def emit(self, record: logging.LogRecord) -> None:
+        try:
+            text = record.getMessage()
+        except (TypeError, ValueError):  # a library's format and its arguments do not fit
+            text = str(record.msg)
         error = record.exc_info and repr(record.exc_info[1])
-        say("library", logger=record.name, level=record.levelname, text=record.getMessage(), error=error)
+        say("library", logger=record.name, level=record.levelname, text=text, error=error)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -212,7 +212,7 @@
             with pytest.raises(OSError):
                 conductor.pool.open(form)
             await agent.wait_for("GET /registry/instances?since=7")
-            conductor.watching.cancel()
+            conductor.watching.stop()
             for pool in conductor.pools:
                 await pool.close()
             for made in taken:
