--- a/hoplane/net/supervisor.py
+++ b/hoplane/net/supervisor.py
@@ -8,9 +8,7 @@
 
 from hoplane import log
 
-FIRST_PAUSE = timedelta(
-    milliseconds=20
-)  # before the work is started anew; doubled with each failure in a row
+FIRST_PAUSE = timedelta(milliseconds=20)  # before a restart; doubled with each failure in a row
 LONGEST_PAUSE = timedelta(milliseconds=500)
 STEADY_AFTER = timedelta(seconds=5)  # work that ran for so long has not failed in a row
 
--- /dev/null
+++ b/tests/test_failing_calls.py
@@ -0,0 +1,82 @@
+"""System calls that fail for a reason of our own machine tell nothing of endpoints, and lose no client."""
+
+import asyncio
+import random
+
+from standins import chat, desk, message, read_message, run, within
+
+REQUESTS = 60
+LOCAL_CONNECT_ERRORS = ["EADDRNOTAVAIL", "ENOBUFS", "ENETUNREACH", "EINTR", "EAGAIN", "ENOMEM", "EADDRINUSE"]
+SOCKET_ERRORS = ["ENFILE", "EMFILE", "ENOBUFS", "ENOMEM"]
+ACCEPT_ERRORS = ["ENFILE", "ENOBUFS", "EMFILE", "ENOMEM", "EPROTO", "ENETDOWN", "EPERM", "ECONNABORTED"]
+
+
+def calls(call, errors, one_in, **more):
+    return {"seed": 5, "calls": [{"call": call, "errors": errors, "one_in": one_in, **more}]}
+
+
+async def ask_all(program, cls):
+    """Send requests one after another, each on a new connection; gives how many were served."""
+    served = 0
+    for number in range(REQUESTS):
+        answer = await program.ask(chat(f"{cls}{number}", cls))
+        served += answer is not None and answer[0].split()[1] == "200"
+    return served
+
+
+def test_clients_that_the_machine_has_accepted_are_answered_though_accept_fails_at_the_end(tmp_path):
+    marker = tmp_path / "failing"
+
+    async def test():
+        plan = calls("accept", ["ENFILE"], 1, times=1, while_file=str(marker))
+        async with desk(tmp_path, plan=plan) as program:
+            marker.touch()
+            program.process.terminate()
+            await program.line("stopping")
+            clients = [await program.connect() for _ in range(20)]
+            for number, (_, writer) in enumerate(clients):
+                writer.write(chat(f"r{number}"))
+            answers = [await within(read_message(reader)) for reader, _ in clients]
+            assert [answer and answer[0].split()[1] for answer in answers] == ["200"] * len(clients)
+            assert await within(program.process.wait()) == 0
+
+    run(test())
+
+
+def test_clients_are_served_in_time_while_accept_fails_now_and_then(tmp_path):
+    async def test():
+        async with desk(tmp_path, plan=calls("accept", ACCEPT_ERRORS, 5)) as program:
+            loop, draw = asyncio.get_running_loop(), random.Random(1)
+            late = []
+            for number in range(REQUESTS):
+                begun = loop.time()
+                answer = await program.ask(chat(f"r{number}", left=900))
+                if answer is None or answer[0].split()[1] != "200" or loop.time() - begun > 0.9:
+                    late.append((number, loop.time() - begun))
+                await asyncio.sleep(draw.uniform(0, 0.01))
+            assert late == []
+            assert await program.stop() == 0
+
+    run(test())
+
+
+def test_the_time_that_a_request_waits_for_accept_counts_against_its_deadline(tmp_path):
+    marker = tmp_path / "failing"
+
+    async def test():
+        plan = calls("accept", ["ENFILE"], 1, while_file=str(marker))
+        async with desk(tmp_path, plan=plan) as program:
+            marker.touch()
+            reader, writer = await program.connect()
+            writer.write(chat(left=2000))
+            await asyncio.sleep(0.6)
+            marker.unlink()
+            assert (await within(read_message(reader)))[0].split()[1] == "200"
+            writer.close()
+            told = int(program.reader.named("POST /v1/chat")[0][1]["x-time-left-ms"])
+            assert told <= 2000 - 600 + 150, "more than the client has left"
+            ready = await program.ask(message("GET /health/ready HTTP/1.1", Host="h"))
+            assert ready[0].split()[1] == "200"
+            assert await program.stop() == 0
+
+    run(test())
