Accept with an owner of our own, which goes on at once when accept fails

Cause: asyncio's server removes its reader for ACCEPT_RETRY_DELAY, one second, after ENFILE, EMFILE, ENOBUFS or ENOMEM, and stop() closed the listener meanwhile (net/server.py, accept_all saw a queue that was never looked at). Listener counts the wait of whoever could not be accepted.

--- a/hoplane/net/arrival.py
+++ b/hoplane/net/arrival.py
@@ -58,6 +58,7 @@
         self.waiting_since: dict[int, float] = {}  # by the accepted socket's descriptor
         self.queue_since = 0.0  # since when there may have been somebody in the queue at each moment
         self.drained = True
+        self.failing = False  # the last accept failed, so that whoever waited then waits still
         self.last_look = 0
         self.accepted_at: deque[float] = deque(maxlen=1)
 
@@ -70,15 +71,19 @@
         """Accept a connection, or note that none is left."""
         loop = asyncio.get_running_loop()
         look = looks(loop)
-        if self.drained or look > self.last_look + 1:  # a look between found none waiting
+        # A look between that found none waiting ends the queue, unless we did not look because accept failed.
+        if not self.failing and (self.drained or look > self.last_look + 1):
             self.queue_since = input_since(loop)
         self.last_look = look
         try:
             accepted, address = super().accept()
         except BlockingIOError:
-            self.drained = True
+            self.drained, self.failing = True, False
             raise
-        self.drained = False
+        except OSError:
+            self.drained, self.failing = False, True
+            raise
+        self.drained = self.failing = False
         full = len(self.accepted_at) == self.accepted_at.maxlen
         behind = self.accepted_at[0] if full else self.queue_since
         self.accepted_at.append(input_since(loop))
--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -11,6 +11,7 @@
 
 from hoplane import log
 from hoplane.config import BODY_MOST, Config, Limits
+from hoplane.net.acceptor import Acceptor
 from hoplane.net.aio import ARRIVED, Door, listening
 
 BODY_WAIT = timedelta(seconds=2.6)  # for a body: a new client is owed an error or a close within 3 s
@@ -19,6 +20,7 @@
 RETURN = timedelta(milliseconds=200)  # the least that a refused client is asked to stay away
 LAST = timedelta(seconds=2)  # for the last bytes to leave
 ACCEPT_LAST = timedelta(milliseconds=300)  # for connections that still wait to be accepted
+ACCEPT_LAST_FAILING = timedelta(seconds=2)  # the same while accept fails
 GONE_MEANWHILE = timedelta(milliseconds=30)  # what waited longer may come from a client that has left
 TURNS_TO_LEARN = 4  # of the loop: to read the end, to lose the connection, and to cancel the handler
 AHEAD_PART = 4  # of the memory for bodies, which requests sent ahead of their turn may take
@@ -148,7 +150,7 @@
             BODY_MOST,
             config.limits.bodies // AHEAD_PART,
         )
-        self.listener: asyncio.Server | None = None
+        self.acceptor: Acceptor | None = None
 
     def resize(self, limits: Limits) -> None:
         """Put new limits in force; what is over them ends by itself."""
@@ -156,12 +158,11 @@
         self.bodies.resize(limits.bodies)
 
     async def start(self) -> None:
-        # Guards against a flood of connections that takes all descriptors at once: the loop accepts as many
-        # in a row as its backlog says, before any that we close is gone, and waits a second if it runs out.
+        # Guards against a flood of connections that takes all descriptors at once: only so many are accepted
+        # in a row, before any that we close is gone.
         made = self.door.listener = listening(*self.config.listen)
-        loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(self.door, sock=made, backlog=ACCEPT_MOST)
         made.listen(BACKLOG)
+        self.acceptor = Acceptor(made, self.door, ACCEPT_MOST)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a request; while we stop, its connection ends with its answer."""
@@ -222,7 +223,7 @@
         self.stopping = True
         await asyncio.sleep(LINGER.total_seconds())
         await self.accept_all()
-        self.listener.close()
+        self.acceptor.close()
         self.door.wind_up()
         while self.open or self.door.busy:
             await asyncio.sleep(0.005)
@@ -231,10 +232,15 @@
             await asyncio.sleep(0.005)
 
     async def accept_all(self) -> None:
-        """Take the connections that still wait to be accepted: closing would reset them over their bytes."""
+        """Take the connections that still wait to be accepted: closing would reset them over their bytes.
+
+        While accept fails, it is waited for longer: the machine has accepted them all the same."""
         loop = asyncio.get_running_loop()
-        end = loop.time() + ACCEPT_LAST.total_seconds()
-        while not self.door.listener.drained and loop.time() < end:
+        begun = loop.time()
+        while not self.acceptor.drained:
+            most = ACCEPT_LAST_FAILING if self.acceptor.failing else ACCEPT_LAST
+            if loop.time() - begun > most.total_seconds():
+                return
             await asyncio.sleep(0.005)
 
 
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -196,12 +196,11 @@
     async def test():
         told = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": SETTINGS}
         server, closed = Door(platform(told), None, problem), asyncio.Event()
-        server.listener = SimpleNamespace(close=closed.set)
-        server.door.listener = SimpleNamespace(drained=False)
+        server.acceptor = SimpleNamespace(close=closed.set, drained=False, failing=False)
         stopping = asyncio.ensure_future(server.stop())
         await asyncio.sleep(0.03)
         assert not closed.is_set()
-        server.door.listener.drained = True
+        server.acceptor.drained = True
         await within(stopping)
         assert closed.is_set()
 
