--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import pytest
 from standins import chat, desk, message, read_message, run, within
 
 REQUESTS = 60
@@ -24,6 +25,28 @@
     return served
 
 
+@pytest.mark.parametrize("cls", ["lookup", "booking"])
+@pytest.mark.parametrize(
+    ("call", "errors"),
+    [("connect", LOCAL_CONNECT_ERRORS), ("socket", SOCKET_ERRORS)],
+    ids=["connect", "socket"],
+)
+def test_a_call_that_fails_here_now_and_then_refuses_no_request(tmp_path, call, errors, cls):
+    async def close(play, call, writer):
+        await play(call, writer)
+        writer.close()  # so that each request needs new connections
+
+    async def test():
+        async with desk(tmp_path, plan=calls(call, errors, 4)) as program:
+            for server in (program.reader, program.writer):
+                play = server.play
+                server.play = lambda call, writer, play=play: close(play, call, writer)
+            assert await ask_all(program, cls) == REQUESTS
+            assert await program.stop() == 0
+
+    run(test())
+
+
 def test_clients_that_the_machine_has_accepted_are_answered_though_accept_fails_at_the_end(tmp_path):
     marker = tmp_path / "failing"
 
