Tell errors of our own machine from those of endpoints, and try again at once

Cause: every OSError of a connect became CONNECT_FAILED (net/runtime.py, play), two of which eject a server (Router.failed), and asyncio takes EAGAIN and EINTR for a connect under way. Connector now tries errors of this machine's own again, from 1 ms on, within the bound for one connection: for attempts, releases, reservations, probes, discovery and both fronts alike, as all use it. What still fails carries FAILED_HERE and counts against no server; nor does the end of our own sockets, which ejected servers too. The same elsewhere: a send or receive for which memory is short ended the connection, of clients too; it is now tried again.

--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -150,7 +150,8 @@
     if status in ANSWERS or (attempt.sent and status not in NEVER_SENT):
         note_end(request.held, now, attempt, status)
         yield from stop_releases(request)
-    if status in SIGNS:
+    failed_here = status is Status.CONNECT_FAILED and event.note == api.FAILED_HERE
+    if status in SIGNS and not failed_here:
         state.signs[attempt.server] = SIGNS[status], now
     if not attempt.reads and status in MAY_HAVE_RUN:
         request.may_have_run = True
--- a/hoplane/decision/interface.py
+++ b/hoplane/decision/interface.py
@@ -200,14 +200,15 @@
     elapsed: int
 
 
-KEPT = 1
+KEPT, FAILED_HERE = 1, 2  # notes of attempts that failed to connect or were reset
 
 
 @dataclass(slots=True, frozen=True)
 class Outcome:
     """How an attempt ended. `note`: with OK and MISS tokens found kept, with FULL 1 for no state to fetch.
 
-    With RESET or CONNECT_FAILED, KEPT tells of a connection from before that was perhaps closed as idle."""
+    With RESET or CONNECT_FAILED, KEPT tells of a connection from before that was perhaps closed as idle, and
+    FAILED_HERE of a system call of our own that failed: neither tells anything of the server."""
 
     request: str
     attempt: int
--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -176,7 +176,8 @@
         job, server, status = attempt.job, attempt.server, event.status
         attempt.drop()
         attempt.risky = not attempt.reads and status in RISKY
-        attempt.failed = status in (*RISKY, Status.CONNECT_FAILED)
+        failed_here = status is Status.CONNECT_FAILED and event.note == api.FAILED_HERE
+        attempt.failed = status in (*RISKY, Status.CONNECT_FAILED) and not failed_here
         job.ended = job.ended or event.closed
         if status in (Status.OK, Status.MISS):
             self.alive(attempt)
@@ -205,8 +206,9 @@
         """Hold a server to be down when it fails twice in a row, or breaks after a wait that hurts.
 
         Guards against one that fails at once, and so seems least busy, and against giving up well servers for
-        a lone reset. A connection kept from before tells nothing: it may have been closed as idle."""
-        if event.status is not Status.ERROR and event.note == api.KEPT:
+        a lone reset. A connection kept from before tells nothing: it may have been closed as idle. Nor does a
+        system call of our own that failed."""
+        if event.status is not Status.ERROR and event.note in (api.KEPT, api.FAILED_HERE):
             return
         server.errors += 1
         if server.errors >= ERRORS or (event.status is not Status.ERROR and event.elapsed > BRIEF):
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import functools
 import socket
 from collections import OrderedDict, deque
@@ -19,6 +20,7 @@
 
 from hoplane import log
 from hoplane.net.arrival import Listener, input_since, looks
+from hoplane.net.resilient_socket import LOCAL_ERRORS, LocalError, NoSocketLeft
 
 HEAD_MOST = 64 * 1024  # bytes of an answer's head, with all interim ones ahead of it
 HEAD_WAIT = timedelta(seconds=0.3)  # from a head's first byte to its end; it is written in one piece
@@ -39,6 +41,13 @@
     """An answer that cannot be read; its request may have run, and its connection is of no further use."""
 
 
+LOCAL_PAUSE = timedelta(milliseconds=1)  # after a connect that failed here; doubled with each in a row
+
+
+class FailedHere(aiohttp.ClientOSError):
+    """A connection could not be made for a reason of this machine's: it tells nothing of the endpoint."""
+
+
 BROKEN = (ConnectionError, aiohttp.ClientOSError, aiohttp.ServerDisconnectedError)
 
 
@@ -148,6 +157,7 @@
         self._factory = functools.partial(Peer, loop=self._loop, broke=self.broke)
         self.usual = self._keepalive_timeout
         self.broken: deque[float] = deque(maxlen=BREAKS)  # when kept connections broke of late
+        self.failed_here = 0  # connects that failed for a reason of this machine's, in all
         self.again, self.pause = 0.0, KEEP_AGAIN  # when they are kept again, and the pause till then
 
     def broke(self, idle: float) -> None:
@@ -163,6 +173,30 @@
         self.again, self._keepalive_timeout = now + self.pause, 0.0
         log.say("connections_stale", idle_ms=round(idle * 1000), none_kept_for_s=self.pause)
 
+    async def _create_connection(self, req, traces, timeout):
+        """Make a connection; what fails for a reason of this machine's is tried again within the bound for one.
+
+        A network out of reach all that time is told as the endpoint's failure: others may be reached."""
+        end = self._loop.time() + (timeout.sock_connect or 0.0)
+        pause = LOCAL_PAUSE.total_seconds()
+        while True:
+            try:
+                return await super()._create_connection(req, traces, timeout)
+            except aiohttp.ClientConnectorError as failure:
+                error = failure.os_error
+                if error.errno not in LOCAL_ERRORS and not isinstance(error, LocalError):
+                    raise
+                log.seldom("connect_failed_here", error=repr(error))
+                self.failed_here += 1
+                if isinstance(error, NoSocketLeft):
+                    raise FailedHere(error.errno, str(error)) from error
+                if self._loop.time() + pause > end:
+                    if error.errno == errno.ENETUNREACH:
+                        raise
+                    raise FailedHere(error.errno, str(error)) from error
+            await asyncio.sleep(pause)
+            pause *= 2
+
     @property
     def keeping(self) -> bool:
         """Tell whether connections are kept at present."""
--- a/hoplane/net/arrival.py
+++ b/hoplane/net/arrival.py
@@ -8,6 +8,8 @@
 import time
 from collections import deque
 
+from hoplane.net.resilient_socket import ResilientSocket
+
 BLOCKED = 0.0005  # seconds: a look for input that took longer waited for it, so that it came just then
 
 
@@ -88,4 +90,4 @@
         behind = self.accepted_at[0] if full else self.queue_since
         self.accepted_at.append(input_since(loop))
         self.waiting_since[accepted.fileno()] = max(self.queue_since, behind)
-        return accepted, address
+        return ResilientSocket(fileno=accepted.detach()), address
--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from contextlib import suppress
 from contextvars import ContextVar
@@ -16,6 +17,7 @@
 from hoplane.config import Config
 from hoplane.net.aio import Connector, never_resend
 from hoplane.net.outgoing import BeforeWrite, LateRequest, before_write
+from hoplane.net.resilient_socket import NoSocketLeft, ResilientSocket
 
 READ_AHEAD = 16 * 1024  # bytes taken from an endpoint before a slow client has taken them
 RESERVED = 4  # sockets that only discovery uses: one for its watch, others while broken ones end
@@ -66,8 +68,8 @@
             self.sockets = WeakSet(each for each in self.sockets if each.fileno() >= 0)
         # A dropped one closes a moment later, so one new connection may go before it.
         if len(self.sockets) >= most and not self.connector.drop_idle():
-            raise OSError("no socket is left for another connection")
-        made = socket.socket(*info[:3])
+            raise NoSocketLeft(errno.EMFILE, "no socket is left for another connection")
+        made = ResilientSocket(*info[:3])
         self.sockets.add(made)
         with suppress(OSError):
             made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -15,9 +15,9 @@
 from hoplane.core import events as ev
 from hoplane.core.ledger import Ledger
 from hoplane.core.reducer import Conductor, reduce
-from hoplane.decision.interface import KEPT, Status
+from hoplane.decision.interface import FAILED_HERE, KEPT, Status
 from hoplane.decision.rules import Router
-from hoplane.net.aio import Spoilt, Stale
+from hoplane.net.aio import FailedHere, Spoilt, Stale
 from hoplane.net.clock import Clock
 from hoplane.net.held_calls import HeldStateCalls
 from hoplane.net.outgoing import Withdrawn
@@ -192,6 +192,8 @@
             raise
         except Stale:
             return over(Status.RESET if sent.is_set() else Status.CONNECT_FAILED, KEPT)
+        except FailedHere:
+            return over(Status.CONNECT_FAILED, FAILED_HERE)
         except (aiohttp.ClientError, OSError, TimeoutError):
             # Guards against a machine that is cut off, which gives no sign: the next request on a connection
             # kept from before would wait in silence again, while a new one fails as soon as a connect may.
