--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -219,3 +219,47 @@
                 made.close()
 
     asyncio.run(test())
+
+
+def test_a_call_that_hangs_past_discoverys_return_has_another_beside_it():
+    async def test():
+        back = asyncio.Event()
+
+        async def play(call, writer):
+            if not back.is_set():
+                await silent(writer)  # what was asked before the return is never answered
+            elif "since=" in call[0]:
+                await asyncio.Event().wait()
+            else:
+                writer.write(well())
+
+        for known in (True, False):
+            back.clear()
+            async with watched(play, known) as (_, told, agent):
+                await agent.wait_for("GET /registry/instances HTTP")
+                back.set()
+                loop = asyncio.get_running_loop()
+                begun = loop.time()
+                assert (await within(told.get())).whole
+                assert loop.time() - begun < 0.6, "waited for a call that is never answered"
+
+    asyncio.run(test())
+
+
+def test_crowded_discovery_is_asked_little_more_and_its_answers_are_heard():
+    async def test():
+        async def play(call, writer):
+            if "since=" in call[0]:
+                await asyncio.Event().wait()
+            await asyncio.sleep(0.9)  # every list takes long
+            writer.write(well())
+
+        async with watched(play, known=False) as (watch, told, agent):
+            for _ in range(4):
+                assert (await within(told.get())).whole
+                watch.index = None
+                for transport in list(agent.open):
+                    transport.abort()
+            assert len(agent.named("GET /registry/instances HTTP")) <= 4 * 1.75
+
+    asyncio.run(test())
