Send a second call for the list beside one to discovery that hangs

Cause: a call for the whole list that was out when discovery came back was waited for 1.2 s (CALL in net/discovery.py), then the next. The first that is answered counts.

--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -174,7 +174,7 @@
         log.say("connections_stale", idle_ms=round(idle * 1000), none_kept_for_s=self.pause)
 
     async def _create_connection(self, req, traces, timeout):
-        """Make a connection; what fails for a reason of this machine's is tried again within the bound for one.
+        """Make a connection; what fails for a reason of this machine's is tried again within the same bound.
 
         A network out of reach all that time is told as the endpoint's failure: others may be reached."""
         end = self._loop.time() + (timeout.sock_connect or 0.0)
--- a/hoplane/net/discovery.py
+++ b/hoplane/net/discovery.py
@@ -17,6 +17,11 @@
 WAIT = timedelta(seconds=2.5)  # that discovery may hold a watch open
 CALL = timedelta(seconds=1.2)  # for an answer beyond that wait, connecting included: an agent answers at once
 PAUSE = timedelta(milliseconds=60)  # after a failed call: the next must come within 200 ms
+HEDGE_LEAST = timedelta(milliseconds=300)  # then another call for the list goes out beside one that hangs
+HEDGE_MULTIPLE = 2  # of the time that the last list took: crowded discovery is not asked the more for it
+LIST_CALLS_MOST = 3  # calls for the list that are out at once
+LIST_PATH = "/registry/instances"
+FAILURES = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
 
 
 class Discovery:
@@ -26,6 +31,7 @@
         self.pool, self.address, self.read, self.feed = pool, address, read, feed
         self.index: int | None = None
         self.failing = False
+        self.list_took = timedelta()  # the time that the last whole list took
 
     def __str__(self) -> str:
         return self.address
@@ -51,26 +57,75 @@
     async def watch(self) -> None:
         """Watch until cancelled."""
         while True:
-            path, patience = "/registry/instances", CALL
-            if self.index is not None:
-                path += f"?since={self.index}&timeout_ms={WAIT // timedelta(milliseconds=1)}"
-                patience += WAIT
             try:
-                # Guards against calls that fall silent or are cut off, at whatever point: a change counts as
-                # told 6 s after discovery had it, and the next call has to have it by then.
-                async with asyncio.timeout(patience.total_seconds()):
-                    async with self.pool.request("GET", self.address, path) as answer:
-                        body = await answer.read()
-                if answer.status != 200:
-                    raise ValueError(f"status {answer.status}")
-                self.take(orjson.loads(body))
-            except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
-                if not self.failing:
-                    log.say("discovery_lost", error=repr(error))
-                self.failing = True
-                self.index = None  # guards against changes that the broken watch has swallowed
+                answer = await (self.ask_for_list() if self.index is None else self.ask_for_changes())
+                self.take(answer)
+            except FAILURES as error:
+                self.lost(error)
                 await asyncio.sleep(PAUSE.total_seconds())
                 continue
+            except Exception:
+                self.index = None
+                raise
             if self.failing:
                 log.say("discovery_back", index=self.index)
             self.failing = False
+
+    def lost(self, error: Exception) -> None:
+        """Note a failed call; the whole list is asked for next, as changes may have been missed."""
+        if not self.failing:
+            log.say("discovery_lost", error=repr(error))
+        self.failing = True
+        self.index = None
+
+    async def ask_for_changes(self) -> object:
+        """Ask for what changed since the version that is known, or will within the wait."""
+        path = f"{LIST_PATH}?since={self.index}&timeout_ms={WAIT // timedelta(milliseconds=1)}"
+        return await self.call(path, WAIT + CALL)
+
+    async def ask_for_list(self) -> object:
+        """Ask for the whole list; the first of several calls that is answered counts.
+
+        Guards against a call that is out when discovery comes back and is never answered: while it hangs,
+        others go out beside it."""
+        loop = asyncio.get_running_loop()
+        out: set[asyncio.Task] = set()
+        next_at = loop.time()
+        try:
+            while True:
+                if loop.time() >= next_at and len(out) < LIST_CALLS_MOST:
+                    out.add(loop.create_task(self.call_for_list()))
+                    hedge = max(HEDGE_LEAST, HEDGE_MULTIPLE * self.list_took)
+                    next_at = loop.time() + hedge.total_seconds()
+                timeout = None if len(out) == LIST_CALLS_MOST else max(0.0, next_at - loop.time())
+                ended, out = await asyncio.wait(out, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+                for call in sorted(ended, key=lambda call: call.exception() is not None):
+                    if (error := call.exception()) is None:
+                        return call.result()
+                    if not out or not isinstance(error, FAILURES):
+                        raise error
+                    self.lost(error)
+        finally:
+            for call in out:
+                call.cancel()
+            await asyncio.gather(*out, return_exceptions=True)
+
+    async def call_for_list(self) -> object:
+        """Make one call for the whole list, and note how long it took."""
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        answer = await self.call(LIST_PATH, CALL)
+        self.list_took = timedelta(seconds=loop.time() - begun)
+        return answer
+
+    async def call(self, path: str, patience: timedelta) -> object:
+        """Make one call and give its answer.
+
+        Guards against calls that fall silent or are cut off, at whatever point: a change counts as told 6 s
+        after discovery had it, and the next call has to have it by then."""
+        async with asyncio.timeout(patience.total_seconds()):
+            async with self.pool.request("GET", self.address, path) as answer:
+                body = await answer.read()
+        if answer.status != 200:
+            raise ValueError(f"status {answer.status}")
+        return orjson.loads(body)
