Index the servers, change the ring in place and choose among a bounded part of large fleets

Cause: Router.on_fleet built and sorted the whole ring for each change, and settle, stranded, usable, late, delay, the ring's walk, the medians and the core's on_listed looked at every server for each event. Now the ring is a sorted list that is changed in place and walked as far as asked (sortedcontainers), servers stand in indexes by role and cell, and from 64 servers of a stage on a choice is made among 64: readers in ring order as before, writers in a subset of the router's own (all of them in turn where few routers have to use them) with those of the read's cell.

--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -6,14 +6,17 @@
 from __future__ import annotations
 
 import random
-from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
+from itertools import islice
+from math import log2
 from statistics import median
 
 from . import interface as api
 from .interface import Effect, Group, Role, State, Status
 from .peer_reports import PeerReport, Symptom
-from .state import Attempt, Job, Mean, Rate, Ring, Row, Server, Servers, Timers, drop_before, mix
+from .ring import Ring, jump_hash, mix
+from .servers import Servers
+from .state import Attempt, Job, Mean, Rate, Row, Server, Timers, drop_before
 
 MS, SECOND = 1_000_000, 1_000_000_000
 READERS, WRITERS = (Role.READ, Role.BOTH), (Role.WRITE, Role.BOTH)
@@ -47,6 +50,9 @@
 ERRORS, BRIEF = 2, 100 * MS  # failures in a row that make a server down; one that took longer does alone
 EJECTION, EJECTION_MOST = SECOND, 8 * SECOND  # of a dead or silent server, doubled with each in a row
 COLD_PART = 0.4  # of what a cold server must stand, over all routers
+CANDIDATES = 64  # servers of a stage among which a choice is made; a smaller fleet is looked at whole
+SUBSET_COVER = 2  # routers whose subsets hold a writer, in the mean: then each keeps connections to few
+EVEN_STEPS = 4  # to a doubling of readers to writers, at which a large fleet's ring is weighed anew
 SWEEP = 50 * MS  # how often servers are checked and waiting requests tried again
 RATE_SPAN = 5 * SECOND  # what came lately came in this; what was told counts for a half to all of it
 
@@ -65,6 +71,9 @@
         self.servers = Servers(settings.kinds)
         self.live = self.servers.live
         self.ring = Ring()
+        self.subset_ring = Ring()  # a point for each writer
+        self.even = 0.0  # readers to a writer, by which the ring was weighed last
+        self.subset: tuple[int, list[Server]] = (-1, [])  # this router's writers, for a version of the list
         self.jobs: dict[str, Job] = {}
         self.rows: dict[str, Row] = {}  # least lately used first
         self.cells: dict[tuple[tuple[bool, ...], bool], tuple[Mean, Mean]] = {}
@@ -104,12 +113,40 @@
             self.watching = False
             self.after(SECOND, self.watch)
             return
-        self.servers.update(event, self.now)
-        cells = Counter((s.role, s.entry.cell) for s in self.live(Role))
-        even = len(self.live((Role.READ,))) / max(1, len(self.live((Role.WRITE,))))
-        near = {cell: even * cells[Role.WRITE, cell] / max(1, cells[Role.READ, cell]) for _, cell in cells}
-        own = {Role.READ: lambda cell: max(PAIRED, near[cell]), Role.BOTH: lambda cell: 1 / (1 + even)}
-        self.ring = Ring((s, round(POINTS * min(1.0, own[s.role](s.entry.cell)))) for s in self.live(READERS))
+        changed = self.servers.update(event, self.now)
+        for server in self.to_weigh(changed):
+            self.ring.set_points(server, self.points(server))
+        for server in changed:
+            writes = server.role in WRITERS and server.entry.state is State.LIVE
+            self.subset_ring.set_points(server, int(writes))
+
+    def to_weigh(self, changed: list[Server]) -> Iterable[Server]:
+        """Give the servers whose points on the ring may be others after a change of the list.
+
+        In a large fleet those of the cells that changed, and all once its roles have shifted."""
+        even, self.even = self.even, self.readers_to_writers()
+        if even != self.even:
+            return dict.fromkeys((*changed, *self.live(READERS)))
+        cells = {server.entry.cell for server in changed}
+        return dict.fromkeys((*changed, *(s for cell in cells for s in self.servers.by_cell.get(cell, ()))))
+
+    def readers_to_writers(self) -> float:
+        """Give how many readers there are to a writer; in a large fleet in steps, the same at all routers."""
+        readers, writers = self.servers.count(Role.READ), self.servers.count(Role.WRITE)
+        even = readers / max(1, writers)
+        if readers + writers <= CANDIDATES or not even:
+            return even
+        return 2 ** (round(log2(even) * EVEN_STEPS) / EVEN_STEPS)
+
+    def points(self, server: Server) -> int:
+        """Give how many points on the ring a server has: the fewer, the less its cell's writers can take."""
+        if server.entry.state is not State.LIVE or server.role not in READERS:
+            return 0
+        cell, cells = server.entry.cell, self.servers.cells
+        if server.role is Role.BOTH:
+            return round(POINTS / (1 + self.even))
+        near = self.even * cells[Role.WRITE, cell] / max(1, cells[Role.READ, cell])
+        return round(POINTS * min(1.0, max(PAIRED, near)))
 
     def watch(self) -> None:
         if self.settings.must_ask and not self.watching:
@@ -252,6 +289,7 @@
 
     def waited(self, server: Server, took: int, unread: int) -> None:
         server.lag, server.lag_at = took - self.reading_time(unread), self.now
+        self.servers.touch(server)
 
     def time_step(self, server: Server, took: int) -> None:
         """Find a writer that slows, by the first token of a state that lay there already: a step or two.
@@ -290,7 +328,7 @@
         """Eject a server, for longer each time in a row; later a single request tries it again.
 
         Guards against dead and hung servers. Silence may be mere load: it takes at most half of a role."""
-        live = self.live((server.role,))
+        live = self.candidates((server.role,))
         well = [s for s in live if self.now >= s.ejected_until and s is not server]
         if self.now < server.ejected_until or not (sure or 2 * len(well) >= len(live)):
             return False
@@ -330,11 +368,47 @@
         least = SILENT_MIN[attempt.reads] * min(cls.aim for cls in self.settings.classes)
         return max(SILENT * (self.stage[attempt.reads].value or 0), least) + self.reading_time(attempt.unread)
 
+    def candidates(self, roles: tuple[Role, ...]) -> list[Server]:
+        """Give the servers among which a choice is made: all of a small fleet, some of a large one."""
+        if self.servers.count(*roles) <= CANDIDATES:
+            return self.live(roles)
+        if roles == WRITERS and (subset := self.writer_subset()):
+            return subset
+        return self.spread(roles)
+
+    def spread(self, roles: tuple[Role, ...]) -> list[Server]:
+        """Give an even spread over the servers of some roles, another one each time."""
+        total, turn = self.servers.count(*roles), self.rng.getrandbits(16)
+        parts = ((role, self.servers.count(role)) for role in roles)
+        most = ((role, max(1, CANDIDATES * count // max(1, total))) for role, count in parts)
+        return [server for role, many in most for server in self.servers.by_role[role].spread(many, turn)]
+
+    def writer_subset(self) -> list[Server]:
+        """Give this router's part of a large fleet's writers; none where few routers have to use them all.
+
+        Guards against connections that no second request ever uses: the fewer writers a router has, the more
+        it finds open. Each router's part lies elsewhere on a ring, so that all writers are used alike."""
+        if self.servers.count(*WRITERS) * SUBSET_COVER > CANDIDATES * self.settings.routers:
+            return []
+        version, subset = self.subset
+        if version != self.servers.version:
+            walk = self.subset_ring.walk(f"router {self.settings.position}")
+            self.subset = self.servers.version, (subset := list(islice(walk, CANDIDATES)))
+        return subset
+
     def usable(self, roles: tuple[Role, ...], pair: tuple[str | None, str] = (None, "")) -> list[Server]:
         """Give the servers that may have new work; one that has failed gets a single request on trial.
 
-        One that was full for a tenant and class gets nothing of theirs: it may have room for others."""
-        return [s for s in self.live(roles) if self.now >= s.opens(pair) and not (s.ejections and s.out)]
+        One that was full for a tenant and class gets nothing of theirs: it may have room for others. Where
+        none of a large fleet's subset may, others stand in."""
+        found = [server for server in self.candidates(roles) if self.takes(server, pair)]
+        if found or self.servers.count(*roles) <= CANDIDATES:
+            return found
+        return [server for server in self.spread(roles) if self.takes(server, pair)]
+
+    def takes(self, server: Server, pair: tuple[str | None, str]) -> bool:
+        """Tell whether a live server may have new work of a tenant and class."""
+        return self.now >= server.opens(pair) and not (server.ejections and server.out)
 
     def settle(self, job: Job | None) -> None:
         """See to it that a request with no attempt out has sent, waits within its limits, or has ended."""
@@ -368,10 +442,10 @@
         if job.local is not None and self.send(job, job.local, reads=False):
             return True
         job.local = None
-        readers = self.readers(job)
-        if readers and self.probe(job, readers[0]):
+        first = next(self.readers(job), None)
+        if first is not None and self.probe(job, first):
             return True
-        read = self.send_first(job, readers, reads=True)
+        read = self.send_first(job, self.readers(job), reads=True)
         return read or self.send_first(job, self.escape(job), reads=False)
 
     def probe(self, job: Job, server: Server) -> bool:
@@ -405,10 +479,11 @@
         server.probed_at = None
         if event.status is Status.OK:
             server.load, server.load_at = event.load, self.now
+            self.servers.touch(server)
         for job in [job for job in self.jobs.values() if server in job.probed and self.now < job.probe_until]:
             self.settle(job)
 
-    def send_first(self, job: Job, servers: list[Server], reads: bool) -> bool:
+    def send_first(self, job: Job, servers: Iterable[Server], reads: bool) -> bool:
         return any(self.send(job, server, reads and server.role is Role.READ) for server in servers)
 
     def release(self, job: Job) -> None:
@@ -462,6 +537,7 @@
         held = 0 if reads else job.request.prompt + job.request.max_out
         Attempt(job, len(job.attempts), server, reads, held, unread, self.now).take()
         self.sends[reads].add(self.now)
+        self.servers.touch(server)
         not_after = None if reads else self.repeat_until(job)
         self.actions.append(api.Send(job.request.request, server.entry.server, not_after=not_after))
         if reads:
@@ -474,7 +550,7 @@
         born, told = server.entry.born, self.settings
         if not born or self.now >= born + told.cold or not told.fall_multiple:
             return True
-        rate = self.sends[reads].add(self.now, 0) / len(self.live((server.role,)))
+        rate = self.sends[reads].add(self.now, 0) / self.servers.count(server.role)
         part = min(1.0, told.cold_share * told.fall_multiple) * COLD_PART
         gap = round(RATE_SPAN / (rate * part)) if rate else told.cold
         if server.next_cold is None:
@@ -488,7 +564,7 @@
         """Tell, by the servers given work of late, whether waits make a request late; over-share ones first.
 
         Repeats too, as nobody tells how old they are. Clients are told to stay away while the wait lasts."""
-        parts = [[job.local]] if job.local else [self.usable((role,)) for role in (Role.READ, Role.WRITE)]
+        parts = [[job.local]] if job.local else [self.lately_used(role) for role in (Role.READ, Role.WRITE)]
         if job.probed and job.local is None:
             parts[0] = self.ahead(job)
         met = ([self.delay(s) for s in part if s.oldest or self.known(s)] for part in parts)
@@ -501,11 +577,17 @@
         limit *= AGAIN if job.request.retry else 1
         return late > limit * job.aim
 
+    def lately_used(self, role: Role) -> list[Server]:
+        """Give the usable servers of a role whose waits may be known: of a large fleet those used last."""
+        if self.servers.count(role) <= CANDIDATES:
+            return self.usable((role,))
+        return [s for s in self.servers.lately_used((role,), CANDIDATES) if self.takes(s, (None, ""))]
+
     def ahead(self, job: Job) -> list[Server]:
         """Give the readers whose reports tell how long a request would wait: the one that it would go to.
 
         While others may still be asked there is none; once all asked have queues, they stand for the rest."""
-        first = self.readers(job)[:1]
+        first = list(islice(self.readers(job), 1))
         if first and self.reported(first[0]):
             return first
         return job.probed if len(job.probed) >= PROBES_MOST else []
@@ -524,12 +606,25 @@
 
         Guards against holding on to what is lost when servers are gone, dead or full all together."""
         last = max(self.now, job.arrived + round(LATE * job.aim))
-        stages = [WRITERS, READERS if not (job.state_at or self.settings.writers_read) else Role]
-        ready = ((s.opens(job.pair) for s in self.live(roles)) for roles in stages)
-        opens = max(min(times, default=last + SECOND) for times in ready)
+        stages = [WRITERS, READERS if not (job.state_at or self.settings.writers_read) else tuple(Role)]
+        opens = max(self.opens(roles, job.pair, last) for roles in stages)
         job.pause = opens - self.now
         return opens > last
 
+    def opens(self, roles: tuple[Role, ...], pair: tuple[str | None, str], last: int) -> int:
+        """Give when the first server of some roles takes new work; one that does now ends the search."""
+        earliest = last + SECOND
+        found = False
+        for server in self.candidates(roles):
+            at = server.opens(pair)
+            earliest = at if not found else min(earliest, at)
+            found = True
+            if earliest <= self.now:
+                return earliest
+        if earliest > last and self.servers.count(*roles) > CANDIDATES:
+            earliest = min([earliest, *(server.opens(pair) for server in self.spread(roles))])
+        return earliest
+
     def escape(self, job: Job) -> list[Server]:
         """Give the writers that may read a request themselves where readers jam or are gone.
 
@@ -537,7 +632,7 @@
         if not self.settings.writers_read or job.local is not None or self.crowding() > CROWDED:
             return []
         size, most = job.request.prompt / (self.prompts.value or 1), {Role.WRITE: SHORT, Role.BOTH: 1.0}
-        fit = [s for s in self.writers(job) if size <= most[s.role] or not self.live(READERS)]
+        fit = [s for s in self.writers(job) if size <= most[s.role] or not self.servers.count(*READERS)]
         return [s for s in fit if not s.waiting and self.delay(s) <= SPILL * job.cls.aim]
 
     def delay(self, server: Server) -> int:
@@ -551,7 +646,7 @@
     def interval(self, server: Server) -> int:
         """Give the mean time between two of our sends to a server of this role."""
         rate = self.sends[server.role is Role.READ].add(self.now, 0)
-        return round(RATE_SPAN * len(self.servers.by_role[server.role]) / max(1.0, rate))
+        return round(RATE_SPAN * self.servers.count(server.role) / max(1.0, rate))
 
     def reading_time(self, tokens: int) -> int:
         return round(tokens * SECOND / self.speed) if self.speed else 0
@@ -566,7 +661,7 @@
     def cell(self, job: Job) -> tuple[Mean, Mean]:
         """Give first-token and pace averages of a path, by context, new tokens over output, and load."""
         if not job.cell:
-            writers = self.live(WRITERS)
+            writers = self.candidates(WRITERS)
             load = sum(server.streams for server in writers) / max(1, len(writers))
             self.streams.add(load, BLEND)
             long = job.request.prompt > (self.prompts.value or 0)
@@ -575,10 +670,10 @@
 
     def local_writer(self, job: Job) -> Server | None:
         """Decide on a later turn: give the writer that shall read it, or None for the reader path."""
-        server = self.servers.get(job.row.writer) if job.row else None
-        writers = self.usable(WRITERS, job.pair)
-        if server not in writers or job.row.at < server.kept_since:
+        server = self.servers.live_one(job.row.writer, WRITERS) if job.row else None
+        if server is None or not self.takes(server, job.pair) or job.row.at < server.kept_since:
             return None
+        writers = self.usable(WRITERS, job.pair) or [server]
         busy = server.streams > BUSY_WRITER * max(1, median(s.streams for s in writers))
         if busy or job.new >= NEW_SHARE * job.request.prompt:
             return None
@@ -590,38 +685,79 @@
             near = TTFT_WEIGHT * ttft + PACE_WEIGHT * pace > 0
         return server if near and self.rng.random() >= REMOTE_SHARE else None
 
-    def readers(self, job: Job) -> list[Server]:
+    def readers(self, job: Job) -> Iterator[Server]:
         """Give the readers in ring order from the prefix, those past the bound last, by earliest end.
 
-        A prefix has more replicas the more of all requests are for it; the session picks one. A session goes
-        back first to the reader that read it, which keeps most of it."""
-        well = set(self.usable(READERS, job.pair))
-        ring = [s for s in self.ring.walk(job.request.prefix or job.request.session or "") if s in well]
-        if job.request.prefix and ring:
-            part = max(0.0, self.demand[job.request.prefix].count - 1) / (self.demand[""].count + DEMAND_MIN)
-            first = max(
-                range(1 + int(PREFIX_REPLICAS * part * len(ring))), key=lambda n: mix(f"{job.spot} {n}")
-            )
-            ring = ring[first:] + ring[:first]
-        if job.row is not None:
-            ring.sort(key=lambda s: s.entry.server != job.row.reader)
+        What failed comes last of all. A session goes back first to the reader that read it, which keeps most
+        of it. The order is worked out as far as it is asked for."""
         slack = SPILL * job.cls.aim
         bound = max(slack / SECOND * self.speed / self.settings.routers, self.prompts.value or 0)
-        room = [s for s in ring if s.waiting <= bound and self.delay(s) <= slack]
-        past = (s for s in ring if s not in room)
-        ends = {s: self.delay(s) + self.reading_time(s.waiting + self.unread(job, s)) for s in past}
         failed = {attempt.server for attempt in job.attempts if attempt.failed}
-        return sorted(room + sorted(ends, key=ends.__getitem__), key=failed.__contains__)
+        past, failed_with_room = [], []
+        for server in self.ring_order(job):
+            if not (server.waiting <= bound and self.delay(server) <= slack):
+                past.append(server)
+            elif server in failed:
+                failed_with_room.append(server)
+            else:
+                yield server
+        ends = {s: self.delay(s) + self.reading_time(s.waiting + self.unread(job, s)) for s in past}
+        past.sort(key=ends.__getitem__)
+        yield from (server for server in past if server not in failed)
+        yield from failed_with_room
+        yield from (server for server in past if server in failed)
+
+    def ring_order(self, job: Job) -> list[Server]:
+        """Give the usable readers in ring order from the prefix, else the session; in a large fleet some.
+
+        A prefix has more replicas the more of all requests are for it; the session picks one."""
+        key, pair = job.request.prefix or job.request.session or "", job.pair
+        total = self.servers.count(*READERS)
+        if total <= CANDIDATES:
+            ring = [server for server in self.ring.walk(key) if self.takes(server, pair)]
+            if job.request.prefix and ring:
+                first = self.replica(job, len(ring))
+                ring = ring[first:] + ring[:first]
+        else:
+            first = self.replica(job, total) if job.request.prefix else 0
+            # Past the bound a replica has a place of its own on the ring, lest we walk to it.
+            walk = self.ring.walk(key if first < CANDIDATES else f"{key} {first}")
+            usable = (server for server in walk if self.takes(server, pair))
+            ring = list(islice(usable, first % CANDIDATES, first % CANDIDATES + CANDIDATES))
+        if job.row is None:
+            return ring
+        last = self.servers.live_one(job.row.reader, READERS)
+        if last is not None and self.takes(last, pair):
+            ring = [last, *(server for server in ring if server is not last)]
+        return ring
+
+    def replica(self, job: Job, readers: int) -> int:
+        """Give which of its prefix's replicas a request goes to first."""
+        part = max(0.0, self.demand[job.request.prefix].count - 1) / (self.demand[""].count + DEMAND_MIN)
+        replicas = 1 + int(PREFIX_REPLICAS * part * readers)
+        if replicas > CANDIDATES:
+            return jump_hash(mix(job.spot), replicas)
+        return max(range(replicas), key=lambda n: mix(f"{job.spot} {n}"))
 
     def writers(self, job: Job) -> list[Server]:
         """Give the writers: a held place first, what failed or refused last, ties drawn lest all meet."""
         failed = {attempt.server for attempt in job.attempts if attempt.failed}
         order = {
             s: (s is not job.place, s in failed, s in job.asked, self.cost(job, s), self.rng.random())
-            for s in self.usable(WRITERS, job.pair)
+            for s in self.writers_near(job)
         }
         return sorted(order, key=order.__getitem__)
 
+    def writers_near(self, job: Job) -> list[Server]:
+        """Give the usable writers; in a large fleet with those of the read's cell and the held place."""
+        found = self.usable(WRITERS, job.pair)
+        if self.servers.count(*WRITERS) <= CANDIDATES:
+            return found
+        near = self.servers.by_cell.get(job.near.entry.cell, ()) if job.near else ()
+        more = [s for s in near if s.role in WRITERS and self.takes(s, job.pair)]
+        place = [job.place] if job.place and job.place.entry.state is State.LIVE else []
+        return list(dict.fromkeys((*found, *more, *place)))
+
     def cost(self, job: Job, server: Server) -> float:
         """Weigh a writer: our part of its memory, its wait, and the state's move."""
         cost = server.held / server.memory if server.memory else float(server.streams)
--- a/hoplane/decision/state.py
+++ b/hoplane/decision/state.py
@@ -2,30 +2,11 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
-from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, field, replace
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Protocol
-from zlib import crc32
 
-from .interface import (
-    ClassSettings,
-    Entry,
-    FirstToken,
-    Fleet,
-    KindSettings,
-    Outcome,
-    Place,
-    Request,
-    Role,
-    State,
-)
-
-
-def mix(text: str) -> int:
-    """Hash a text the same way in every process."""
-    value = (crc32(text.encode()) + 0x9E3779B97F4A7C15) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
-    return ((value ^ value >> 31) * 0x94D049BB133111EB & 0xFFFFFFFFFFFFFFFF) >> 32
+from .interface import ClassSettings, Entry, Request, Role
 
 
 @dataclass(slots=True)
@@ -156,53 +137,6 @@
         self.server.streams -= not self.reads
 
 
-class Servers(dict[int, Server]):
-    """The server list, level with what was told last."""
-
-    def __init__(self, kinds: Iterable[KindSettings]) -> None:
-        super().__init__()
-        self.kinds = {kind.name: kind for kind in kinds}
-        self.by_role: dict[Role, list[Server]] = {}
-
-    def update(self, event: Fleet, now: int) -> None:
-        """Take a list in; a whole one removes what it leaves out. A gone server stays while we await it."""
-        entries = [entry for entry in event.entries or () if entry.kind in self.kinds]
-        named = {entry.server for entry in entries}
-        for key, server in list(self.items()):
-            if event.whole and key not in named:
-                server.entry = replace(server.entry, state=State.GONE)
-            if server.entry.state is State.GONE and not server.out:
-                del self[key]
-        for entry in entries:
-            kind = self.kinds[entry.kind]
-            server = self.setdefault(entry.server, Server(entry, kind.role, kind.memory or 0))
-            server.renew(entry, kind.role, now)
-        live = [server for server in self.values() if server.entry.state is State.LIVE]
-        self.by_role = {role: [server for server in live if server.role is role] for role in Role}
-
-    def live(self, roles: Iterable[Role]) -> list[Server]:
-        """Give the servers of some roles that run and do not drain."""
-        return [server for role in roles for server in self.by_role.get(role, ())]
-
-    def attempt(self, event: FirstToken | Place | Outcome) -> Attempt | None:
-        """Give the attempt out that an event speaks of."""
-        server = self.get(event.server)
-        return server.out.get((event.request, event.attempt)) if server else None
-
-
-class Ring:
-    """A hash ring, the same wherever its servers have the same parts of it."""
-
-    def __init__(self, points: Iterable[tuple[Server, int]] = ()) -> None:
-        hashed = ((mix(f"{s.entry.server} {n}"), s) for s, most in points for n in range(most))
-        self.points = sorted(hashed, key=lambda item: (item[0], item[1].entry.server))
-
-    def walk(self, key: str) -> Iterator[Server]:
-        """Give each server once, in the order of the ring from a key's place."""
-        start = bisect_left(self.points, mix(key), key=lambda item: item[0])
-        return iter(dict.fromkeys(server for _, server in self.points[start:] + self.points[:start]))
-
-
 class Timers(dict[int, Callable[[], "Job | None"]]):
     """What to do at each timer, counted on."""
 
