--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -231,7 +231,7 @@
         entries.append(
             api.Entry(number, each.kind, each.zone, each.cell, each.state, each.weight, to_ns(started))
         )
-        state.fleet[number] = each
+        state.list_endpoint(number, each)
         if each.state is api.State.GONE:
             state.forget(number, now)
     states = {each.name: each.state.value for each in known.values() if each.state is not api.State.LIVE}
--- a/hoplane/core/release_order.py
+++ b/hoplane/core/release_order.py
@@ -9,6 +9,8 @@
 from hoplane.core.events import Endpoint
 from hoplane.core.state import Conductor, Request
 
+ASKED_MOST = 64  # endpoints that one pass goes through: of a large fleet an even spread
+
 
 def release_order(state: Conductor, request: Request) -> tuple[Endpoint, ...]:
     """Give the endpoint that answered last first, then the others by turns in every zone.
@@ -16,12 +18,13 @@
     Any endpoint takes a release. Guards against a zone that is cut off: all that had part in a request may be
     in it, and so may all that come first in the list. The servers that just failed come last, and behind them
     those that had part and are listed no more: they are all that is left when a list has become empty."""
-    fleet = list(state.fleet)
-    start = crc32(request.asked.id.encode()) % max(1, len(fleet))  # lest all routers ask the same one
+    start = crc32(request.asked.id.encode())  # lest all routers ask the same one
+    others = state.listed.spread(ASKED_MOST, start)
+    cut = start % max(1, len(others))
     had_part = [attempt.server for attempt in reversed(request.attempts)]
     if request.reserved_at is not None:
         had_part.append(request.reserved_at)
-    known = (n for n in dict.fromkeys([*had_part, *fleet[start:], *fleet[:start]]) if n in state.fleet)
+    known = (n for n in dict.fromkeys([*had_part, *others[cut:], *others[:cut]]) if n in state.fleet)
     order = sorted(known, key=lambda number: last_sign(state, number))
     zones: dict[str | None, list[Endpoint]] = {state.fleet[n].zone: [] for n in order[:1]}
     zones.setdefault(state.settings.zone, [])
--- a/hoplane/core/state.py
+++ b/hoplane/core/state.py
@@ -13,6 +13,7 @@
 from hoplane.core.start_times import StartTimes
 from hoplane.core.tally import Tally
 from hoplane.decision import interface as api
+from hoplane.decision.indexed_set import IndexedSet
 from hoplane.decision.interface import Status
 from hoplane.decision.rules import Router
 
@@ -75,6 +76,7 @@
     fleet: dict[int, ev.Endpoint] = field(default_factory=dict)
     tally: Tally = field(default_factory=Tally)
     signs: dict[int, tuple[bool, timedelta]] = field(default_factory=dict)  # the last sign: well or not, when
+    listed: IndexedSet[int] = field(default_factory=IndexedSet)  # the numbers in `fleet`
     names: dict[int, str] = field(default_factory=dict)  # `numbers` the other way round
     starts: StartTimes = field(default_factory=StartTimes)
 
@@ -108,9 +110,15 @@
             return told
         return None if known is None else replace(known, state=api.State.GONE)
 
+    def list_endpoint(self, number: int, endpoint: ev.Endpoint) -> None:
+        """Enter an endpoint into the fleet, or what is new of it."""
+        self.fleet[number] = endpoint
+        self.listed.add(number)
+
     def forget(self, number: int, now: timedelta) -> None:
         """Remove an endpoint from the fleet, and all that is kept of it."""
         name = self.fleet.pop(number).name
+        self.listed.discard(number)
         self.signs.pop(number, None)
         del self.numbers[name], self.names[number]
         self.starts.forget(name, now)
