--- a/tests/test_held_on_sockets.py
+++ b/tests/test_held_on_sockets.py
@@ -259,3 +259,53 @@
                 assert await record.verdict() == []
 
     run(test())
+
+
+@pytest.mark.parametrize("release_within", RELEASE_TIMES)
+def test_a_next_read_that_never_reaches_its_server_holds_no_release_back(tmp_path, release_within):
+    kinds = {"r1": "prefill", "r2": "prefill", "w1": "decode"}
+
+    async def test():
+        async with deployment(tmp_path, customer(release_within), kinds) as (program, record, of):
+            of["r1"].resets_reads = of["r2"].resets_reads = True
+            of["r1"].finish.clear()
+            of["r2"].finish.clear()
+            async with client(program):
+                await record.wait_until(lambda: called(of["r1"], "POST") or called(of["r2"], "POST"))
+                first, second = (of["r1"], of["r2"]) if called(of["r1"], "POST") else (of["r2"], of["r1"])
+                second.inbound.clear()  # cut off: the next read is on its way for ever
+                await at_gate(record, (second,), "POST")
+                first.finish.set()  # the broken read went on, and leaves its state
+                await record.wait_until(lambda: record.of("r1").ever_held)
+                assert await record.verdict() == []
+            second.inbound.set()
+
+    run(test())
+
+
+@pytest.mark.parametrize("release_within", RELEASE_TIMES)
+def test_a_decode_attempt_that_never_reaches_its_server_holds_no_release_back(tmp_path, release_within):
+    async def test():
+        async with deployment(tmp_path, customer(release_within), ONE_OF_EACH) as (program, record, of):
+            of["w1"].inbound.clear()  # cut off: the attempt is on its way for ever
+            async with client(program):
+                await at_gate(record, (of["w1"],), "POST /v1/chat")
+                await record.wait_until(lambda: record.of("r1").ever_held)
+                assert await record.verdict() == []
+            of["w1"].inbound.set()
+
+    run(test())
+
+
+@pytest.mark.parametrize("release_within", RELEASE_TIMES)
+def test_a_place_held_for_a_read_that_never_reached_its_server_is_released(tmp_path, release_within):
+    async def test():
+        settings = customer(release_within, ahead=True)
+        async with deployment(tmp_path, settings, ONE_OF_EACH) as (program, record, of):
+            of["r1"].inbound.clear()  # cut off: the read is on its way for ever
+            async with client(program):
+                await record.wait_until(lambda: record.of("r1").ever_held)
+                assert await record.verdict() == []
+            of["r1"].inbound.set()
+
+    run(test())
