Let a send that may not have arrived hold no release back beyond its time

Cause: Request.active took each written attempt as out (core/state.py), so that a release waited for one whose connection is cut off. Now a next prefill waits, up to 100 ms, until an endpoint has taken the release of what an earlier one left; a decode attempt holds no release back, as one that waits for the state keeps it by the protocol; a prefill does, unless a sign says that it has not arrived: its last byte is not acknowledged by the other machine after 120 ms (SIOCOUTQ), or a decode server answers that it knows of no read (204), and 20 ms later there is still no answer.

--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -63,6 +63,14 @@
     attempt: int
 
 
+@dataclass(slots=True, frozen=True)
+class Unacknowledged:
+    """The machine of an attempt's endpoint has not acknowledged its last byte after several round trips."""
+
+    id: str
+    attempt: int
+
+
 @dataclass(slots=True, frozen=True)
 class Began:
     """The first event of an attempt's answer is being passed on."""
@@ -135,7 +143,16 @@
     taken: timedelta
 
 
-CoreTimer = Deadline | AttemptTimeout | ReleaseDue
+@dataclass(slots=True, frozen=True)
+class ArrivalDue:
+    """Timer: a prefill of which a decode server did not know should have been answered by now, or is lost."""
+
+    id: str
+    taken: timedelta
+    attempt: int
+
+
+CoreTimer = Deadline | AttemptTimeout | ReleaseDue | ArrivalDue
 
 
 @dataclass(slots=True, frozen=True)
@@ -168,7 +185,19 @@
     load: dict[str, float]
 
 
-Event = Asked | Left | Sent | Began | Ended | ReservationEnded | ReleaseAnswered | Due | Listed | Loaded
+Event = (
+    Asked
+    | Left
+    | Sent
+    | Unacknowledged
+    | Began
+    | Ended
+    | ReservationEnded
+    | ReleaseAnswered
+    | Due
+    | Listed
+    | Loaded
+)
 
 
 # --- effects
@@ -187,6 +216,7 @@
     reads: bool
     connect_within: timedelta | None = None
     not_after: timedelta | None = None  # it may be written no more from this time on
+    release_first: bool = False  # what an earlier attempt left is being released; this waits a moment for it
 
 
 @dataclass(slots=True, frozen=True)
--- a/hoplane/core/held.py
+++ b/hoplane/core/held.py
@@ -53,6 +53,8 @@
     release_at: timedelta | None = None  # when the next release is due, unless an attempt is out
     may_come_until: timedelta = timedelta()  # a release begun before this may miss something
     cleared_at: timedelta = timedelta()  # all that was held before this has gone
+    left_at: timedelta = timedelta()  # when something was last left that no attempt will take
+    reads_on_until: timedelta = timedelta()  # a read whose connection broke may end well until then
     reservations: int = 0  # reservation calls that are out
     calls: ReleaseCalls | None = None  # the release that is being asked for
 
@@ -61,6 +63,11 @@
         """Tell whether nothing is held, and nothing is out that could leave something."""
         return self.holding is Holding.NOTHING and not self.reservations
 
+    @property
+    def uncleared(self) -> bool:
+        """Tell whether something may be held of which no endpoint has taken a release yet."""
+        return self.holding is Holding.LEFTOVER and self.cleared_at <= self.left_at
+
     def connect_within(self, now: timedelta) -> timedelta | None:
         """Give how long a decode attempt may wait for its connection, None for no bound of ours.
 
@@ -78,6 +85,8 @@
             self.release_at = self.taken_by(now)
         elif status in CUT_OFF:
             self.leave_behind(now, now + CUT_OFF[status])
+            if status is Status.RESET:
+                self.reads_on_until = now + READS_ON
             if self.holding is Holding.LEFTOVER:
                 self.release_at = now + SETTLE  # the time counts anew from this outcome
 
@@ -110,9 +119,15 @@
             late = ON_ITS_WAY if result is Reservation.UNANSWERED else timedelta()
             self.leave_behind(now, now + late)
 
+    def attempt_missing(self, now: timedelta) -> None:
+        """Note that a prefill which is out has not come to its server: a place asked for it waits in vain."""
+        if self.reservations:
+            self.leave_behind(now, now)
+
     def leave_behind(self, release_at: timedelta, may_come_until: timedelta) -> None:
         """Note that something may be held, or come to be held until a time, which no attempt will take."""
         self.may_come_until = max(self.may_come_until, may_come_until)
+        self.left_at = max(self.left_at, release_at)
         if self.holding is not Holding.READY:
             self.holding = Holding.LEFTOVER
             self.release_by(release_at)
@@ -125,7 +140,7 @@
         """Note that no attempt will take what is held: a release is due."""
         if self.done:
             return
-        self.holding = Holding.LEFTOVER
+        self.holding, self.left_at = Holding.LEFTOVER, now
         if self.calls is None:
             self.release_by(now + SETTLE if now < self.may_come_until else now)
 
@@ -140,10 +155,19 @@
         """Note that a release is being asked for."""
         self.holding, self.calls, self.release_at = Holding.LEFTOVER, calls, None
 
+    def press(self, calls: ReleaseCalls) -> None:
+        """Note that a release is asked for while a decode attempt is out that was to take the state.
+
+        One that waits for the state keeps it; of one that never arrived the state must go in time."""
+        self.calls, self.release_at = calls, None
+
     def release_heard(self, begun: timedelta) -> None:
         """Note that an endpoint has taken a release: all that was held before it began has gone."""
         self.calls = None
-        self.cleared(begun)
+        if self.holding is Holding.READY:
+            self.cleared_at = max(self.cleared_at, begun)
+        else:
+            self.cleared(begun)
 
     def release_unheard(self) -> None:
         """Give up: no endpoint has taken a release for long, and servers free by themselves what is left."""
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -7,8 +7,8 @@
 
 from hoplane.core import events as ev
 from hoplane.core.held import HeldState, Holding
-from hoplane.core.releases import go_on_releasing, note_answer, stop_releases
-from hoplane.core.state import Attempt, Conductor, Request, abandon
+from hoplane.core.releases import go_on_releasing, note_answer, stop_releases, wake_for_release
+from hoplane.core.state import Arrival, Attempt, Conductor, Request, abandon
 from hoplane.core.units import to_ns, to_span
 from hoplane.decision import interface as api
 from hoplane.decision.interface import Status
@@ -26,6 +26,7 @@
 ANSWERS = (Status.OK, Status.MISS, Status.FULL, Status.ERROR, Status.RESET)  # only what was sent ends so
 NEVER_SENT = (Status.CONNECT_FAILED, Status.MOOT)  # what ends so never reached its server
 PLACE = {ev.Reservation.HELD: True, ev.Reservation.NOT_HELD: False}  # what the module is told of one
+ARRIVAL_GRACE = timedelta(milliseconds=20)  # for a read's answer, once a decode server did not know of it
 BACKSTOP = timedelta(milliseconds=5)  # after the deadline, which the module sees to by itself
 
 
@@ -110,7 +111,26 @@
     request = state.requests.get(event.id)
     if request is not None:
         request.attempts[event.attempt].sent = True
-    return iter(())
+        yield from wake_for_release(request)
+
+
+def on_unacknowledged(state: Conductor, now: timedelta, event: ev.Unacknowledged) -> Iterator[ev.Effect]:
+    """Note that an attempt has not come to its endpoint's machine: it holds no release back."""
+    if (request := state.requests.get(event.id)) is not None:
+        yield from miss_arrival(state, now, request, event.attempt)
+
+
+def miss_arrival(state: Conductor, now: timedelta, request: Request, index: int) -> Iterator[ev.Effect]:
+    """Take a sign that an attempt has not arrived, unless another one says that it has, or it is over."""
+    attempt = request.attempts[index]
+    if attempt.over or attempt.began or attempt.arrival is not Arrival.UNKNOWN:
+        return
+    attempt.arrival = Arrival.MISSING
+    state.signs[attempt.server] = False, now  # it is asked last for the release
+    state.tally.add("not_arrived")
+    if attempt.reads:
+        request.held.attempt_missing(now)
+    yield from sweep_up(state, now, request.asked.id)
 
 
 def on_began(state: Conductor, now: timedelta, event: ev.Began) -> Iterator[ev.Effect]:
@@ -180,6 +200,10 @@
     request.held.reservation_ended(now, event.result)
     state.tally.add(event.result.value)
     attempt = request.attempts[event.attempt]
+    if event.result in PLACE:
+        attempt.arrival = Arrival.ARRIVED
+    elif event.result is ev.Reservation.UNKNOWN and not attempt.over:
+        yield ev.Wake(now + ARRIVAL_GRACE, ev.ArrivalDue(event.id, request.taken, event.attempt))
     if event.result in PLACE and not attempt.over:
         held = PLACE[event.result]
         yield from decide(state, now, api.Place(event.id, event.attempt, attempt.server, held))
@@ -206,6 +230,8 @@
         return
     if isinstance(timer, ev.ReleaseDue):
         request.woken_at = None
+    elif isinstance(timer, ev.ArrivalDue):
+        yield from miss_arrival(state, now, request, timer.attempt)
     elif request.began:
         return
     elif isinstance(timer, ev.AttemptTimeout):
@@ -251,6 +277,7 @@
     ev.Asked: on_asked,
     ev.Left: on_left,
     ev.Sent: on_sent,
+    ev.Unacknowledged: on_unacknowledged,
     ev.Began: on_began,
     ev.Ended: on_ended,
     ev.ReservationEnded: on_reservation_ended,
@@ -284,7 +311,16 @@
         reads = role is api.Role.READ
         connect_within = None if reads else request.held.connect_within(now)
         not_after = None if action.not_after is None else to_span(action.not_after)
-        yield ev.Forward(action.request, index, endpoint, deadline, reads, connect_within, not_after)
+        yield ev.Forward(
+            action.request,
+            index,
+            endpoint,
+            deadline,
+            reads,
+            connect_within,
+            not_after,
+            release_first=reads and request.held.uncleared,
+        )
         return []
     request.attempts[index].over = True
     return [api.Outcome(action.request, index, action.server, status, 0, request.closed)]
--- a/hoplane/core/releases.py
+++ b/hoplane/core/releases.py
@@ -14,13 +14,16 @@
 
 
 def go_on_releasing(state: Conductor, now: timedelta, request: Request) -> Iterator[ev.Effect]:
-    """Begin a release that is due, or ask further endpoints for the one that is out, unless an attempt is."""
+    """Begin a release that is due, or ask further endpoints for one that is out, if releases may go out."""
     held = request.held
-    if request.active:
+    if not request.may_release(now):
         return
     if held.calls is None and held.release_at is not None and now >= held.release_at:
-        yield from abandon_unsent(request)
-        held.begin_release(ReleaseCalls(now))
+        if held.holding is Holding.READY and request.decoding:
+            held.press(ReleaseCalls(now))
+        else:
+            yield from abandon_unsent(request)
+            held.begin_release(ReleaseCalls(now))
     if (calls := held.calls) is not None and now >= calls.next_try:
         if calls.exhausted:
             yield ev.Say("release_unheard", {"request": request.asked.id, "tries": calls.tries}, seldom=True)
@@ -74,5 +77,5 @@
     if event.heard:
         request.held.release_heard(call.begun)
         yield from stop_releases(request)
-    elif not request.active:
+    elif request.may_release(now):
         yield from begin_calls(request, calls.ask_next(now, request.release_calls))
--- a/hoplane/core/state.py
+++ b/hoplane/core/state.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
+from enum import Enum, auto
 from zlib import crc32
 
 from hoplane.core import events as ev
@@ -18,6 +19,14 @@
 from hoplane.decision.rules import Router
 
 
+class Arrival(Enum):
+    """What is known of an attempt's way to its server, once it is written."""
+
+    UNKNOWN = auto()  # it is taken as there, as most are
+    ARRIVED = auto()  # another server knows of it
+    MISSING = auto()  # a sign says that its last byte never got there
+
+
 @dataclass(slots=True)
 class Attempt:
     """One send of a request."""
@@ -27,6 +36,7 @@
     opened: timedelta
     endpoint: ev.Endpoint | None = None
     sent: bool = False  # bytes of it may have gone: until then it is no more than a connection that comes up
+    arrival: Arrival = Arrival.UNKNOWN
     began: bool = False
     over: bool = False
     abandoned: Status | None = None  # how it counts once its connection is closed
@@ -54,9 +64,24 @@
         return any(not attempt.over for attempt in self.attempts)
 
     @property
-    def active(self) -> bool:
-        """Tell whether an attempt is out that its server may have got: nothing need be released."""
-        return any(attempt.sent and not attempt.over for attempt in self.attempts)
+    def reading(self) -> bool:
+        """Tell whether a prefill attempt is out that its server may have got: its state is its own."""
+        return any(
+            each.sent and each.reads and not each.over and each.arrival is not Arrival.MISSING
+            for each in self.attempts
+        )
+
+    @property
+    def decoding(self) -> bool:
+        """Tell whether an attempt is out that was written to a decode server."""
+        return any(each.sent and not each.reads and not each.over for each in self.attempts)
+
+    def may_release(self, now: timedelta) -> bool:
+        """Tell whether releases may go out now.
+
+        Not while a prefill is out, lest they take its state, unless an earlier one goes on that broke off. A
+        decode attempt that waits for a state keeps it."""
+        return not self.reading or now < self.held.reads_on_until
 
     @property
     def lingers(self) -> bool:
--- a/hoplane/net/held_calls.py
+++ b/hoplane/net/held_calls.py
@@ -6,10 +6,12 @@
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
 
+from hoplane import log
 from hoplane.core import events as ev
 from hoplane.net.pool import Pool
 
 RELEASE_TIMEOUT = timedelta(seconds=2)  # of one call, which is given up once another one is heard
+RELEASE_FIRST = timedelta(milliseconds=100)  # a next prefill waits so long for the release before it
 RELEASED = 204  # the status of an endpoint that has taken a release
 RESERVATION_TIMEOUT = timedelta(seconds=1)
 RESERVATIONS = {  # what an answer to a reservation call tells; after any other a place may be held
@@ -32,6 +34,7 @@
     ) -> None:
         self.pool, self.path, self.spawn, self.feed = pool, path, spawn, feed
         self.releases: dict[str, set[asyncio.Task]] = {}  # the release calls that are out, by request
+        self.awaited: dict[str, asyncio.Event] = {}  # set when an endpoint has taken a release, by request
 
     def release(self, effect: ev.Release) -> None:
         """Begin a release call."""
@@ -47,8 +50,22 @@
             self.releases.pop(effect.id, None)
         if not task.cancelled():
             heard = task.exception() is None and task.result()
+            if heard and effect.id in self.awaited:
+                self.awaited[effect.id].set()
             self.feed(ev.ReleaseAnswered(effect.id, effect.taken, effect.number, heard))
 
+    async def wait_for_release(self, id: str) -> None:
+        """Wait until an endpoint has taken a release of what is held for a request, for a bounded time."""
+        taken = self.awaited[id] = asyncio.Event()
+        try:
+            async with asyncio.timeout(RELEASE_FIRST.total_seconds()):
+                await taken.wait()
+        except TimeoutError:
+            log.seldom("release_first_unheard", request=id)
+        finally:
+            if self.awaited.get(id) is taken:
+                del self.awaited[id]
+
     def stop_releases(self, effect: ev.StopReleases) -> None:
         """Give up the release calls of a request."""
         for task in self.releases.pop(effect.id, set()):
--- a/hoplane/net/outgoing.py
+++ b/hoplane/net/outgoing.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, MutableMapping
 from contextvars import ContextVar
 
 import aiohttp
 
-BeforeWrite = Callable[[MutableMapping[str, str]], None]
+BeforeWrite = Callable[[MutableMapping[str, str], asyncio.Transport | None], None]
 
 # What the running task wants done with the headers once its connection is up, before the first byte goes.
 before_write: ContextVar[BeforeWrite | None] = ContextVar("before_write", default=None)
@@ -25,5 +26,5 @@
 
     async def send(self, conn: aiohttp.connector.Connection) -> aiohttp.ClientResponse:
         if (complete := before_write.get()) is not None:
-            complete(self.headers)
+            complete(self.headers, conn.transport)
         return await super().send(conn)
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -17,6 +17,7 @@
 from hoplane.core.reducer import Conductor, reduce
 from hoplane.decision.interface import FAILED_HERE, KEPT, Status
 from hoplane.decision.rules import Router
+from hoplane.net.acknowledged import ArrivalWatch
 from hoplane.net.aio import FailedHere, Spoilt, Stale
 from hoplane.net.clock import Clock
 from hoplane.net.held_calls import HeldStateCalls
@@ -170,7 +171,10 @@
         def over(status: Status, note: int = 0, load: dict[str, float] | None = None) -> ev.Ended:
             return ev.Ended(effect.id, effect.attempt, status, note, load or {})
 
+        if effect.release_first:
+            await self.held_calls.wait_for_release(effect.id)
         call, begun = exchange.call(effect), self.loop.time()
+        watch = ArrivalWatch(self.loop, lambda: self.feed(ev.Unacknowledged(effect.id, effect.attempt)))
         try:
             answer = await self.pool.request(
                 call.method,
@@ -178,7 +182,7 @@
                 call.path,
                 sent,
                 effect.connect_within,
-                lambda headers: self.complete(effect, call, headers),
+                lambda headers, transport: self.complete(effect, call, headers, transport, watch),
                 headers=call.headers,
                 data=call.body,
             )
@@ -200,6 +204,8 @@
             self.pool.connector.drop_idle(effect.endpoint.address)
             # Guards a booking: a break counts as never run only while no byte of it can have gone.
             return over(Status.RESET if sent.is_set() else Status.CONNECT_FAILED)
+        finally:
+            watch.stop()
         whole = False
         try:
             head = exchange.read_head(answer.status, answer.headers, b"")
@@ -219,7 +225,14 @@
             else:
                 answer.close()
 
-    def complete(self, effect: ev.Forward, call: Call, headers: MutableMapping[str, str]) -> None:
+    def complete(
+        self,
+        effect: ev.Forward,
+        call: Call,
+        headers: MutableMapping[str, str],
+        transport: asyncio.Transport | None,
+        watch: ArrivalWatch,
+    ) -> None:
         """Tell the time that is left once the connection is up, or withdraw what may not be sent any more."""
         now = self.clock.now()
         left = effect.deadline - now
@@ -229,6 +242,7 @@
         if call.time_left:
             headers[call.time_left] = str(max(1, left // timedelta(milliseconds=1)))
         self.feed(ev.Sent(effect.id, effect.attempt))
+        watch.start(transport)
 
     @staticmethod
     async def read_short(answer: aiohttp.ClientResponse) -> bytes | None:
--- a/tests/held_model.py
+++ b/tests/held_model.py
@@ -23,6 +23,8 @@
 SLACK = 300  # that state may be held beyond the release time
 UNKNOWN_AFTER = 300  # a reservation is answered so late where no read is out
 CONNECT_TIMEOUT, RESERVATION_TIMEOUT, RELEASE_TIMEOUT = 250, 1000, 2000
+ACKNOWLEDGED_BY = 120  # what the other machine has not acknowledged by then is told as missing
+RELEASE_FIRST = 100  # an attempt may wait so long for the release of what an earlier one left
 START = 1_000_000
 
 
@@ -36,6 +38,7 @@
     fails: str = ""  # "reset", "error" or "full": how an attempt ends
     reads_on: int = 0  # after a reset the read goes on for so long, and ends well
     hangs: bool = False  # it takes what comes, and never answers an attempt
+    cut_off: bool = False  # what is written to a connection kept from before never comes to it
     grants: bool = True  # a place
     answers_reservations: bool = True
 
@@ -115,7 +118,8 @@
         key, how = (effect.id, effect.attempt), self.behaviours[effect.endpoint.name]
         self.out[key] = None
         if how.connects:
-            self.after(how.delay, lambda: self.send(effect, how))
+            waits = RELEASE_FIRST if effect.release_first else 0
+            self.after(how.delay + waits, lambda: self.send(effect, how))
             return
         within = CONNECT_TIMEOUT
         if effect.connect_within is not None:
@@ -129,6 +133,10 @@
             return
         work = self.out[key] = Work(effect.id)
         self.feed(ev.Sent(*key))
+        if how.cut_off:
+            work.over = True  # at the endpoint it never began
+            self.after(ACKNOWLEDGED_BY, lambda: self.feed(ev.Unacknowledged(*key)))
+            return
         arrive = self.read if effect.reads else self.decode
         self.after(how.delay, lambda: arrive(key, work, effect.endpoint.name, how))
 
--- a/tests/test_held_property.py
+++ b/tests/test_held_property.py
@@ -22,6 +22,7 @@
     fails=st.sampled_from(["", "", "", "reset", "error", "full"]),
     reads_on=st.sampled_from([0, 10, 400, 2000]),
     hangs=st.sampled_from([False, False, False, True]),
+    cut_off=st.sampled_from([False, False, False, True]),
 )
 decode_servers = st.builds(
     Behaviour,
