Add a randomized fault soak of real conductors, and two finds of it as failing tests

Troubles overlap: cuts, hangs, refusals, resets, spoilt answers, drains and cold starts, discovery down, crowded or reset, SIGTERM, SIGKILL, SIGSTOP, SIGHUP, logs that stall or close. The calls arrived when the cut was over: the kernel sends on after a plain close, and releases ended 0.2 s after the call.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -8,6 +8,8 @@
 import sys
 from contextlib import asynccontextmanager
 
+from hoplane.emulator.http import STREAM_HEAD, chunk, message, read_message
+
 LIMIT = 20  # seconds that any wait may take before a test fails
 
 
@@ -21,34 +23,7 @@
         return probe.getsockname()[1]
 
 
-async def read_message(reader):
-    """Read one HTTP/1.1 message: its first line, headers in lower case, and body; None at the end."""
-    try:
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return None
-    headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in head[1:] if line)}
-    body = b""
-    if headers.get("transfer-encoding") == "chunked":
-        while size := int(await reader.readline(), 16):
-            body += (await reader.readexactly(size + 2))[:-2]
-        await reader.readline()
-    elif "content-length" in headers:
-        body = await reader.readexactly(int(headers["content-length"]))
-    return head[0], headers, body
-
-
-def message(first, body=b"", **headers):
-    headers["Content_Length"] = len(body)
-    lines = [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
-    return "\r\n".join([first, *lines, "", ""]).encode() + body
-
-
-def chunk(data):
-    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
-
-
-STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+STREAM = STREAM_HEAD
 EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}\n\n'
 USAGE = b'data: {"choices":[],"usage":{"prompt_tokens":9,"prompt_tokens_details":{"cached_tokens":4}}}\n\n'
 DONE = b"data: [DONE]\n\n: X-Backend-Load: latency_ms=3,x0=0.5\n\n"
--- a/tests/test_acknowledged.py
+++ b/tests/test_acknowledged.py
@@ -3,9 +3,11 @@
 import asyncio
 import socket
 
-from standins import run, within
+from standins import SETTINGS, run, within
 
+from hoplane.config import platform
 from hoplane.net.acknowledged import ROUND_TRIPS, ArrivalWatch, unacknowledged
+from hoplane.net.pool import Pool
 
 
 async def connection():
@@ -58,3 +60,41 @@
         assert told.empty(), "a watch that was stopped tells nothing"
 
     run(test())
+
+
+def test_what_the_other_machine_has_not_taken_of_a_call_that_is_given_up_never_arrives():
+    """The kernel would go on sending after a plain close, and the endpoint would run it for nobody."""
+    size = 150_000  # more than the other end's small buffer takes, and less than our kernel's
+
+    async def test():
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.setblocking(False)
+        loop = asyncio.get_running_loop()
+        address = "{}:{}".format(*listener.getsockname())
+        told = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": SETTINGS}
+        pool = Pool(platform(told), 8)
+
+        async def send():
+            await pool.request("POST", address, "/", data=b"x" * size)
+
+        sending = asyncio.ensure_future(send())
+        accepted, _ = await loop.sock_accept(listener)
+        await asyncio.sleep(0.3)  # all is in the machines' buffers, or on its way
+        sending.cancel()
+        await within(asyncio.wait({sending}))
+        await asyncio.sleep(0.1)
+        came = 0
+        try:
+            while data := await within(loop.sock_recv(accepted, 1 << 16)):
+                came += len(data)
+        except ConnectionResetError:
+            pass
+        assert came < size
+        accepted.close()
+        listener.close()
+        await pool.close()
+
+    run(test())
--- a/tests/test_held_on_sockets.py
+++ b/tests/test_held_on_sockets.py
@@ -309,3 +309,20 @@
             of["r1"].inbound.set()
 
     run(test())
+
+
+@pytest.mark.parametrize("release_within", RELEASE_TIMES)
+def test_a_reservation_that_arrives_long_after_it_was_given_up_is_released(tmp_path, release_within):
+    async def test():
+        settings = customer(release_within, ahead=True)
+        async with deployment(tmp_path, settings, ONE_OF_EACH) as (program, record, of):
+            of["r1"].finish.clear()
+            of["w1"].inbound.clear()  # cut off: the reservation is on its way
+            async with client(program):
+                await at_gate(record, (of["w1"],), "POST /v1/holds")
+            await asyncio.sleep(2)
+            of["w1"].inbound.set()
+            await record.wait_until(lambda: record.of("r1").ever_held)
+            assert await record.verdict() == []
+
+    run(test())
