Reset a call that is given up unacknowledged, and release longer for one that was not answered

Cause: Peer.close closed plainly, so that the kernel sent on what a cut-off endpoint had not taken, and it came to be held when the cut was over; a reservation without an answer counted as gone after 0.2 s (core/held.py, ON_ITS_WAY). The close now resets where bytes are unacknowledged; where they were taken by something on the way, releases go out for 3 s, as after a read whose connection broke.

--- a/hoplane/core/held.py
+++ b/hoplane/core/held.py
@@ -21,7 +21,8 @@
 RELEASE_WITHIN = 500 * MILLISECOND  # between two releases where the settings name no release time
 CONNECT_LEAST = 100 * MILLISECOND  # a connection over a busy link still comes up within this
 SETTLE = 15 * MILLISECOND  # a release waits so long after an attempt was cut off: most closes go ahead
-ON_ITS_WAY = 200 * MILLISECOND  # a close or a call may take this long to its endpoint
+ON_ITS_WAY = 200 * MILLISECOND  # a close may take this long to its endpoint
+CALL_ON_ITS_WAY = timedelta(seconds=3)  # a reservation with no answer may arrive so late, after a cut
 READS_ON = timedelta(seconds=3)  # a server may go on for so long with a read whose connection broke
 
 # After these a prefill may have ended well at its server, whatever its client saw, or may yet: for so long.
@@ -116,7 +117,7 @@
         if result is Reservation.NOT_HELD:
             self.settle()
         else:
-            late = ON_ITS_WAY if result is Reservation.UNANSWERED else timedelta()
+            late = CALL_ON_ITS_WAY if result is Reservation.UNANSWERED else timedelta()
             self.leave_behind(now, now + late)
 
     def attempt_missing(self, now: timedelta) -> None:
--- a/hoplane/net/acknowledged.py
+++ b/hoplane/net/acknowledged.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import fcntl
+import socket
 import struct
 import termios
 from collections.abc import Callable
+from contextlib import suppress
 from datetime import timedelta
 
 ROUND_TRIPS = timedelta(milliseconds=120)  # several, and more than a delayed acknowledgement takes
 UNSENT = struct.Struct("i")
+LINGER_NOT_AT_ALL = struct.pack("ii", 1, 0)  # a close resets the connection
 
 
 def unacknowledged(transport: asyncio.Transport) -> int:
@@ -28,6 +31,18 @@
     return waiting + max(0, queued)
 
 
+def reset_if_unacknowledged(transport: asyncio.Transport) -> None:
+    """Let the coming close of a connection discard what the other machine has not taken.
+
+    Guards against a call that is given up while its endpoint is cut off: after a plain close the kernel sends
+    on, and the endpoint runs it for nobody when it is back."""
+    connection = transport.get_extra_info("socket")
+    if connection is None or not unacknowledged(transport):
+        return
+    with suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT_AT_ALL)
+
+
 class ArrivalWatch:
     """Looks once, some round trips after a request was written, whether its last byte has arrived."""
 
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -19,6 +19,7 @@
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
 from hoplane import log
+from hoplane.net.acknowledged import reset_if_unacknowledged
 from hoplane.net.arrival import Listener, input_since, looks
 from hoplane.net.resilient_socket import LOCAL_ERRORS, LocalError, NoSocketLeft
 
@@ -134,6 +135,8 @@
         Guards against a request that is given up half-written: a plain close would write the rest of it when
         the endpoint reads again, and have it run for nobody."""
         self.idle = 0.0
+        if self.transport is not None:
+            reset_if_unacknowledged(self.transport)
         if self.transport is not None and self.transport.get_write_buffer_size():
             self.abort()
         else:
