Ask one place whether an attempt may be written, and count broken rules at run time

Each answer of our own tells its reason and the attempts before it, each withdrawn attempt why (at most once a second each).

--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -7,6 +7,7 @@
 
 from hoplane.core import events as ev
 from hoplane.core.held import HeldState, Holding
+from hoplane.core.permits import LATE_ANSWER, Invariant, check_write
 from hoplane.core.releases import go_on_releasing, note_answer, stop_releases, wake_for_release
 from hoplane.core.state import Arrival, Attempt, Conductor, Request, abandon
 from hoplane.core.units import to_ns, to_span
@@ -110,7 +111,10 @@
     """Note that an attempt may have reached its server from now on."""
     request = state.requests.get(event.id)
     if request is not None:
+        denial = check_write(state, now, request, event.attempt, request.deadline)
         request.attempts[event.attempt].sent = True
+        if denial is not None:
+            yield violated(state, Invariant.WRITTEN_AGAINST_RULE, event.id, denial.value)
         yield from wake_for_release(request)
 
 
@@ -161,7 +165,7 @@
         status = attempt.abandoned
         if status is Status.CONNECT_FAILED and attempt.sent:
             status = Status.CANCELLED  # it was given up as not sent, and was sent in that moment
-    attempt.over = True
+    attempt.over, attempt.status = True, status
     state.tally.add(f"{'read' if attempt.reads else 'write'}_{status.value}", now - attempt.opened)
     if facts := state.tally.line(now):
         yield ev.Say("work", facts)
@@ -174,7 +178,7 @@
     if status in SIGNS and not failed_here:
         state.signs[attempt.server] = SIGNS[status], now
     if not attempt.reads and status in MAY_HAVE_RUN:
-        request.may_have_run = True
+        request.may_have_run = attempt.may_have_run = True
     yield from decide(
         state,
         now,
@@ -240,7 +244,7 @@
         # Guards against a module that forgets a request, or may not cancel what hangs: this is the last word.
         for index in range(len(request.attempts)):
             yield from abandon(request, index, Status.TIMEOUT)
-        yield from fail(state, now, api.Fail(timer.id))
+        yield from fail(state, now, api.Fail(timer.id, api.Reason.TIME_OVER))
     yield from sweep_up(state, now, timer.id)
 
 
@@ -322,7 +326,7 @@
             release_first=reads and request.held.uncleared,
         )
         return []
-    request.attempts[index].over = True
+    request.attempts[index].over, request.attempts[index].status = True, status
     return [api.Outcome(action.request, index, action.server, status, 0, request.closed)]
 
 
@@ -363,7 +367,8 @@
     if request is not None and not request.closed:
         request.closed = True
         state.tally.add("refused", now - request.taken)
-        yield ev.Refuse(action.request, to_span(action.pause), "given up by the module")
+        yield from told_answer(state, now, request, "request_refused", action.reason)
+        yield ev.Refuse(action.request, to_span(action.pause), action.reason.value)
 
 
 def fail(state: Conductor, now: timedelta, action: api.Fail) -> Iterator[ev.Effect]:
@@ -372,7 +377,28 @@
     if request is not None and not request.closed:
         request.closed = True
         state.tally.add("failed", now - request.taken)
-        yield ev.Fail(action.request, "it may have run and may not run again, or its time is over")
+        yield from told_answer(state, now, request, "request_failed", action.reason)
+        yield ev.Fail(action.request, action.reason.value)
+
+
+def told_answer(
+    state: Conductor, now: timedelta, request: Request, event: str, reason: api.Reason
+) -> Iterator[ev.Effect]:
+    """Log why a request gets an answer of our own, with its attempts, and count the reason."""
+    state.tally.add(f"ended_{reason.value}")
+    attempts = [f"{each.endpoint.name if each.endpoint else ''} {each.ended_by}" for each in request.attempts]
+    facts = {"request": request.asked.id, "why": reason.value, "attempts": attempts}
+    yield ev.Say(event, facts, seldom=True)
+    if now > request.deadline + LATE_ANSWER:
+        yield violated(state, Invariant.ANSWERED_LATE, request.asked.id, str(now - request.deadline))
+
+
+def violated(state: Conductor, rule: Invariant, id: str, what: str) -> ev.Say:
+    """Count a broken rule, and give the line that tells of it."""
+    state.violations[rule.value] += 1
+    state.tally.add(f"violated_{rule.value}")
+    facts = {"rule": rule.value, "request": id, "what": what, "count": state.violations[rule.value]}
+    return ev.Say("invariant_broken", facts)
 
 
 ACTIONS: dict[type, Callable[..., Iterable[ev.Effect]]] = {
--- a/hoplane/core/state.py
+++ b/hoplane/core/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
@@ -37,9 +38,16 @@
     endpoint: ev.Endpoint | None = None
     sent: bool = False  # bytes of it may have gone: until then it is no more than a connection that comes up
     arrival: Arrival = Arrival.UNKNOWN
+    may_have_run: bool = False  # it is over, and may have had an effect
     began: bool = False
     over: bool = False
     abandoned: Status | None = None  # how it counts once its connection is closed
+    status: Status | None = None  # how it ended
+
+    @property
+    def ended_by(self) -> str:
+        """Give how it ended, or that it is out, for the log."""
+        return "out" if self.status is None else self.status.value
 
 
 @dataclass(slots=True)
@@ -104,15 +112,12 @@
     listed: IndexedSet[int] = field(default_factory=IndexedSet)  # the numbers in `fleet`
     names: dict[int, str] = field(default_factory=dict)  # `numbers` the other way round
     starts: StartTimes = field(default_factory=StartTimes)
+    violations: Counter[str] = field(default_factory=Counter)  # by the name of the rule
 
     def __post_init__(self) -> None:
-        """Index the kinds of endpoints, by name."""
+        """Index the kinds of endpoints and the effects of classes, by name."""
         self.kinds = {kind.name: kind for kind in self.settings.kinds}
-
-    def takes_work(self, name: str) -> bool:
-        """Tell whether an endpoint is listed and does not drain."""
-        endpoint = self.fleet.get(self.numbers.get(name, -1))
-        return endpoint is not None and endpoint.state is api.State.LIVE
+        self.effects = {cls.name: cls.effect for cls in self.settings.classes}
 
     def number(self, name: str) -> int:
         """Give an endpoint's number: the same at every conductor, as the module's ring hashes it."""
--- a/hoplane/decision/interface.py
+++ b/hoplane/decision/interface.py
@@ -303,12 +303,23 @@
     attempt: int
 
 
+class Reason(Enum):
+    """Why a request gets a final answer of our own; for the log."""
+
+    UNTOLD = "untold"
+    TIME_OVER = "time_over"
+    NO_MORE_ATTEMPTS = "no_more_attempts"  # by their number, its class or the repeat window
+    NO_SERVER_IN_TIME = "no_server_in_time"  # none of a stage takes new work before it would be late
+    WAITS_TOO_LONG = "waits_too_long"  # queues would make it late
+
+
 @dataclass(slots=True, frozen=True)
 class Refuse:
     """Final answer: refused, trying again is harmless. `pause` 0: no advice on when."""
 
     request: str
     pause: int = 0
+    reason: Reason = field(default=Reason.UNTOLD, compare=False)
 
 
 @dataclass(slots=True, frozen=True)
@@ -316,6 +327,7 @@
     """Final answer: failed, nothing is promised."""
 
     request: str
+    reason: Reason = field(default=Reason.UNTOLD, compare=False)
 
 
 @dataclass(slots=True, frozen=True)
--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -12,7 +12,7 @@
 from statistics import median
 
 from . import interface as api
-from .interface import Effect, Group, Role, State, Status
+from .interface import Effect, Group, Reason, Role, State, Status
 from .peer_reports import PeerReport, Symptom
 from .ring import Ring, jump_hash, mix
 from .servers import Servers
@@ -166,7 +166,7 @@
             self.demand[prefix] = self.demand.pop(prefix, Rate(IDLE))
             self.demand[prefix].add(self.now)
         span = max(0, event.patience - self.settings.tick)
-        self.after(span, lambda: job if job.settled else self.finish(job))
+        self.after(span, lambda: job if job.settled else self.finish(job, Reason.TIME_OVER))
         if not self.sweeping:
             self.sweeping = True
             self.after(SWEEP, self.sweep)
@@ -422,18 +422,26 @@
 
     def advance(self, job: Job) -> None:
         """Take the next step of the path, wait for one, or end the request."""
-        spent = self.now >= job.deadline - self.settings.tick or not self.may_send(job, None)
-        over = spent or self.stranded(job)
+        reason = self.hopeless(job)
         within = IDLE if self.settings.release_within is None else self.settings.release_within
         due = job.state_since + max(within // 2, within - 2 * SWEEP)  # a state waits until then
-        if not over and job.state_at is not None and self.now > due:
+        if reason is not None:
+            self.finish(job, reason)
+        elif job.state_at is not None and self.now > due:
             self.release(job)
-        elif not over and job.state_at is None and self.late(job):
-            over = not self.send_first(job, self.escape(job), reads=False)
-        elif not over:
+        elif job.state_at is None and self.late(job):
+            if not self.send_first(job, self.escape(job), reads=False):
+                self.finish(job, Reason.WAITS_TOO_LONG)
+        else:
             self.step(job)
-        if over:
-            self.finish(job)
+
+    def hopeless(self, job: Job) -> Reason | None:
+        """Tell why a request with no attempt out can get none in time, None if it may."""
+        if self.now >= job.deadline - self.settings.tick:
+            return Reason.TIME_OVER
+        if not self.may_send(job, None):
+            return Reason.NO_MORE_ATTEMPTS
+        return Reason.NO_SERVER_IN_TIME if self.stranded(job) else None
 
     def step(self, job: Job) -> bool:
         """Send the request where its path leads next."""
@@ -493,13 +501,14 @@
         job.state_at = job.place = None
         job.asked.clear()
 
-    def finish(self, job: Job) -> Job:
+    def finish(self, job: Job, reason: Reason) -> Job:
         """Give the final answer: refused where that is known to be harmless, else failed."""
         cls, request = job.cls, job.request.request
         harmless = not job.out and not any(attempt.risky for attempt in job.attempts)
         repeatable = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
         pause = min(max(0, job.pause), self.settings.retry_after and self.settings.max_retry_after or 0)
-        self.actions.append(api.Refuse(request, pause) if harmless or repeatable else api.Fail(request))
+        refuse = harmless or repeatable
+        self.actions.append(api.Refuse(request, pause, reason) if refuse else api.Fail(request, reason))
         job.ended = True
         self.cancel(job.out)
         return job
--- a/hoplane/fronts/kserve.py
+++ b/hoplane/fronts/kserve.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 from collections.abc import Mapping
+from dataclasses import replace
 from datetime import timedelta
 from itertools import count
 
@@ -258,6 +259,9 @@
         await self.server.look_for_the_end(request)
         if len(runtime.exchanges) >= self.config.max_open:
             return problem(503, "too much at once", timedelta(seconds=1), close=True)
+        # Guards against working on for longer than the client waits.
+        left = max(timedelta(), asked.patience - self.server.waited(request))
+        asked = replace(asked, patience=left)
         exchange = runtime.exchanges[asked.id] = Exchange(request, asked, body)
         try:
             runtime.feed(asked)
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -360,6 +360,12 @@
             await asyncio.sleep(LINGER.total_seconds())
         return resp, reset
 
+    def force_close(self) -> None:
+        """Close the connection; one over a request that was read and is not answered is told as a fault."""
+        if not self.idle and self.transport is not None:
+            log.say("invariant_broken", rule="closed_unanswered", open=self._request_count - self.answered)
+        super().force_close()
+
     def see_off(self) -> None:
         """End our sending and wait for the client's end; its connection's loss ends the wait."""
         if self.deaf and self.ending or self.transport is None or self._manager is None:
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -14,6 +14,7 @@
 from hoplane.config import Config
 from hoplane.core import events as ev
 from hoplane.core.ledger import Ledger
+from hoplane.core.permits import check_write
 from hoplane.core.reducer import Conductor, reduce
 from hoplane.decision.interface import FAILED_HERE, KEPT, Status
 from hoplane.decision.rules import Router
@@ -236,8 +237,11 @@
         """Tell the time that is left once the connection is up, or withdraw what may not be sent any more."""
         now = self.clock.now()
         left = effect.deadline - now
-        too_late = left <= timedelta() or (effect.not_after is not None and now >= effect.not_after)
-        if too_late or not self.state.takes_work(effect.endpoint.name):
+        request = self.state.requests.get(effect.id)
+        denial = check_write(self.state, now, request, effect.attempt, effect.deadline, effect.not_after)
+        if denial is not None:
+            facts = {"request": effect.id, "attempt": effect.attempt, "endpoint": effect.endpoint.name}
+            log.seldom("attempt_withdrawn", why=denial.value, **facts)
             raise Withdrawn
         if call.time_left:
             headers[call.time_left] = str(max(1, left // timedelta(milliseconds=1)))
