--- a/hoplane/emulator/conductors.py
+++ b/hoplane/emulator/conductors.py
@@ -163,9 +163,9 @@
     async def kill(self) -> None:
         """Kill it outright; what it had held is freed by endpoints."""
         self.ready, self.ending = False, True
+        self.oracle.forgive_held(self.name)
         self.signal(signal.SIGKILL)
         await self.process.wait()
-        self.oracle.forgive_held(self.name)
 
     async def reload(self) -> None:
         """Move discovery to another address with a new configuration, and close the old one later."""
--- a/hoplane/emulator/endpoints.py
+++ b/hoplane/emulator/endpoints.py
@@ -173,7 +173,7 @@
     async def prefill(self, id: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Read a prompt and leave its state."""
         self.note_cold(id)
-        self.oracle.reads(id)
+        self.oracle.reads(id, self.name)
         if self.mood is Mood.BREAKS:
             self.oracle.read_ended(id, self.name, left=False)
             writer.transport.abort()
@@ -202,7 +202,7 @@
         if not self.oracle.has_state(id):
             writer.write(message("HTTP/1.1 410 Gone", X_Unprocessed=1))
             return
-        self.oracle.decodes(id)
+        self.oracle.decodes(id, self.name)
         try:
             ended = await self.works(FIRST_TOKEN, reader)
             if not ended:
--- a/hoplane/emulator/oracle.py
+++ b/hoplane/emulator/oracle.py
@@ -16,6 +16,7 @@
 HELD_SLACK = 0.3  # seconds that state may be held beyond the release time
 EVENT_SLACK = 0.3  # seconds from an event's writing to its coming to the client
 TOLD_WITHIN = 6.0  # seconds after which discovery's changes count as told, heard or not
+JUST_BACK = 0.1  # seconds after a cut in which what was on its way comes
 LAG_SPAN = 3.0  # seconds for which the lag of the judge's own loop is taken off
 LAG_TICK = 0.01  # seconds between two measurements of that lag
 FEW_CALLS = 30  # under so many, the budget of slow start has more slack for chance
@@ -70,6 +71,7 @@
     may_have_run: bool = False  # at a decode endpoint
     held: set[str] = field(default_factory=set)
     held_since: float | None = None  # from when the rule's time runs; None while it does not
+    orphan: bool = False  # its conductor was killed: endpoints free some seconds later what it had held
 
 
 class Oracle:
@@ -194,10 +196,10 @@
         if over > self.lag:
             self.broken(Rule.DRAIN, record.conductor, f"{record.id} to {endpoint}, {over:.3f} s too late")
 
-    def reads(self, id: str) -> None:
+    def reads(self, id: str, endpoint: str) -> None:
         """Note that a prefill endpoint has a request."""
         record = self.requests[id]
-        self.out(record)
+        self.out(record, endpoint)
         record.reading += 1
         self.run_clock(record)
 
@@ -227,10 +229,10 @@
         """Tell whether a read state waits for a request."""
         return any(item.startswith("state") for item in self.requests[id].held)
 
-    def decodes(self, id: str) -> None:
+    def decodes(self, id: str, endpoint: str) -> None:
         """Note that a decode endpoint has a request that it will run."""
         record = self.requests[id]
-        self.out(record)
+        self.out(record, endpoint)
         if record.may_have_run and record.effect is Effect.UNSAFE:
             self.broken(Rule.DUPLICATE, record.conductor, f"{id} may have run before")
         record.may_have_run = True
@@ -249,15 +251,18 @@
         record.decoding -= 1
         self.run_clock(record, anew=True)
 
-    def out(self, record: RequestRecord) -> None:
-        """Judge that no other attempt of a request is out."""
+    def out(self, record: RequestRecord, endpoint: str) -> None:
+        """Judge that no other attempt of a request is out.
+
+        One that comes when a cut is over may have been given up long ago, its connection's end right behind."""
         self.judge_held(record)
-        if record.reading or record.decoding:
+        delayed = self.cut.get(endpoint, float("-inf")) > self.now - JUST_BACK
+        if (record.reading or record.decoding) and not delayed:
             self.broken(Rule.COPY, record.conductor, f"{record.id}: a second attempt is out")
 
     def run_clock(self, record: RequestRecord, anew: bool = False) -> None:
         """Let the time of what is held run while no attempt is out."""
-        if not record.held or record.reading or record.decoding:
+        if not record.held or record.reading or record.decoding or record.orphan:
             record.held_since = None
         elif record.held_since is None or anew:
             record.held_since = self.now
@@ -277,7 +282,7 @@
         """Free what a conductor that was killed had held: endpoints do so some seconds later."""
         for record in self.requests.values():
             if record.conductor == conductor:
-                record.held.clear()
+                record.orphan = True
                 record.held_since = None
 
     def judge_all(self) -> None:
