--- a/hoplane/emulator/oracle.py
+++ b/hoplane/emulator/oracle.py
@@ -254,7 +254,7 @@
     def out(self, record: RequestRecord, endpoint: str) -> None:
         """Judge that no other attempt of a request is out.
 
-        One that comes when a cut is over may have been given up long ago, its connection's end right behind."""
+        One that comes when a cut is over may have been given up, its connection's end right behind."""
         self.judge_held(record)
         delayed = self.cut.get(endpoint, float("-inf")) > self.now - JUST_BACK
         if (record.reading or record.decoding) and not delayed:
