--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -6,11 +6,13 @@
 from datetime import timedelta
 from types import SimpleNamespace
 
+import pytest
 from core_driver import start
 from standins import SETTINGS, Server, accept_release, entry, within
 
 from hoplane.config import platform
-from hoplane.core.events import Asked, Ended, Left
+from hoplane.core import reducer
+from hoplane.core.events import Asked, Ended, Left, Loaded
 from hoplane.decision.interface import KEPT, Status
 from hoplane.fronts.kserve import problem
 from hoplane.fronts.registry_list import read_list
@@ -247,3 +249,22 @@
         listener.close()
 
     asyncio.run(test())
+
+
+def test_an_event_that_breaks_leaves_those_behind_it_their_turn(monkeypatch):
+    async def test():
+        async with Server(accept_release) as reader, Server(accept_release) as writer:
+            runtime, taken = start(reader, writer), []
+
+            def breaks(state, now, event):
+                runtime.feed(Left("behind"))  # it comes while this one is being handled
+                raise RuntimeError("a fault of ours")
+
+            monkeypatch.setitem(reducer.HANDLERS, Loaded, breaks)
+            monkeypatch.setitem(reducer.HANDLERS, Left, lambda *_: taken.append("behind") or ())
+            with pytest.raises(RuntimeError):
+                runtime.feed(Loaded(1, Status.OK, timedelta(), {}))
+            assert taken == ["behind"]
+            await runtime.pool.close()
+
+    asyncio.run(test())
