Handle the events behind one that breaks before its error is raised

Cause: Runtime.feed left its loop with the error, and what it had queued, an outcome or a release heard, waited for the next event of whatever request.

--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -88,17 +88,23 @@
         }
 
     def feed(self, event: ev.Event) -> None:
-        """Take an event in and perform what it calls for; events met meanwhile come after it, in order."""
+        """Take an event in and perform what it calls for; events met meanwhile come after it, in order.
+
+        An event or effect that breaks is a fault of ours; it is raised once the others have had their turn."""
         self.queue.append(event)
         if self.busy:
             return
+        broken: Exception | None = None
         self.busy = True
-        try:
-            while self.queue:
+        while self.queue:
+            try:
                 for effect in reduce(self.state, self.clock.now(), self.queue.popleft()):
                     self.effects[type(effect)](effect)
-        finally:
-            self.busy = False
+            except Exception as error:
+                broken = broken or error
+        self.busy = False
+        if broken is not None:
+            raise broken
 
     def spawn(self, work: Coroutine) -> asyncio.Task:
         """Run work beside; it is awaited at the end."""
