--- a/hoplane/emulator/discovery.py
+++ b/hoplane/emulator/discovery.py
@@ -52,6 +52,7 @@
 
     def __init__(self, registry: Registry, conductor: str) -> None:
         self.registry, self.conductor = registry, conductor
+        self.bytes_written = 0  # of lists
         self.delay = 0.0  # seconds that each answer takes, as where discovery is crowded
         self.writers: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
@@ -108,7 +109,9 @@
         else:
             told = registry.whole()
         await asyncio.sleep(self.delay)
-        writer.write(message("HTTP/1.1 200 OK", orjson.dumps(told)))
+        body = orjson.dumps(told)
+        self.bytes_written += len(body)
+        writer.write(message("HTTP/1.1 200 OK", body))
         for entry in told["endpoints"]:
             if entry["status"] != "Ready":
                 self.registry.oracle.is_told(self.conductor, entry["name"])
--- a/hoplane/emulator/endpoints.py
+++ b/hoplane/emulator/endpoints.py
@@ -49,18 +49,25 @@
         self.came: deque[float] = deque()
         self.background: set[asyncio.Task] = set()
         self.proxy: FaultProxy | None = None
+        self.address = ""
+        self.connections = 0  # that were made to it
 
-    async def start(self) -> None:
-        """Listen behind a proxy."""
+    async def start(self, behind_proxy: bool = True) -> None:
+        """Listen, behind a proxy where faults of the network are to be played."""
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.proxy = FaultProxy(self.server.sockets[0].getsockname()[:2], self.note_attempts)
-        await self.proxy.listen()
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        if behind_proxy:
+            self.proxy = FaultProxy((host, port), self.note_attempts)
+            await self.proxy.listen()
+            self.address = self.proxy.address
 
     async def stop(self) -> None:
         """End all."""
         self.server.close()
         self.recovered.set()
-        await self.proxy.close()
+        if self.proxy is not None:
+            await self.proxy.close()
         for task in list(self.background):
             task.cancel()
 
@@ -68,7 +75,7 @@
         """Give its entry in discovery's list."""
         return {
             "name": self.name,
-            "address": self.proxy.address,
+            "address": self.address,
             "zone": "z",
             "type": self.kind,
             "group": 1,
@@ -113,6 +120,7 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the calls on one connection."""
+        self.connections += 1
         try:
             while (call := await read_message(reader)) is not None:
                 await self.answer(call, reader, writer)
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -90,7 +90,7 @@
     def feed(self, event: ev.Event) -> None:
         """Take an event in and perform what it calls for; events met meanwhile come after it, in order.
 
-        An event or effect that breaks is a fault of ours; it is raised once the others have had their turn."""
+        What breaks is a fault of ours; it is raised once the others have had their turn."""
         self.queue.append(event)
         if self.busy:
             return
