--- a/hoplane/core/start_times.py
+++ b/hoplane/core/start_times.py
@@ -25,6 +25,7 @@
 class StartTimes:
     """The starts of the endpoints that are listed, and for a while of those that were."""
 
+    late_by: timedelta = timedelta()  # a start so long before the last answer is believed
     counted: dict[str, Start] = field(default_factory=dict)
     gone: dict[str, tuple[Start, timedelta]] = field(default_factory=dict)  # with when; the oldest first
 
@@ -32,16 +33,19 @@
         """Give the clock time from which a told start counts.
 
         `unheard` is how long before now the last answer of discovery came, None if this is the first: what
-        was not in that answer started later. A start that was counted before counts as it did."""
+        was not in that answer started later, or little before it where lists come late. One that is told to
+        lie further back counts from that answer. A start that was counted before counts as it did."""
         if told == LONG_AGO:
             self.counted.pop(name, None)
             return LONG_AGO
         start = self.counted.get(name) or self.gone.pop(name, (None, now))[0]
         if start is None or start.told != told:
-            earliest = LONG_AGO if unheard is None else now - unheard
+            believed = told
+            if unheard is not None and told < now - unheard - self.late_by:
+                believed = now - unheard
             if start is not None:
-                earliest = max(earliest, start.counted + timedelta.resolution)
-            start = Start(told, max(min(told, now), min(earliest, now)))
+                believed = max(believed, start.counted + timedelta.resolution)
+            start = Start(told, min(believed, now))
         self.counted[name] = start
         return start.counted
 
--- a/hoplane/core/state.py
+++ b/hoplane/core/state.py
@@ -14,11 +14,14 @@
 from hoplane.core.ledger import Ledger
 from hoplane.core.start_times import StartTimes
 from hoplane.core.tally import Tally
+from hoplane.core.units import to_span
 from hoplane.decision import interface as api
 from hoplane.decision.indexed_set import IndexedSet
 from hoplane.decision.interface import Status
 from hoplane.decision.rules import Router
 
+LISTS_LATE_BY = timedelta(seconds=4)  # at most a third of a slow start, lest a wrong clock hide it
+
 
 class Arrival(Enum):
     """What is known of an attempt's way to its server, once it is written."""
@@ -117,6 +120,7 @@
     def __post_init__(self) -> None:
         """Index the kinds of endpoints and the effects of classes, by name."""
         self.kinds = {kind.name: kind for kind in self.settings.kinds}
+        self.starts.late_by = min(LISTS_LATE_BY, to_span(self.settings.cold) / 3)
         self.effects = {cls.name: cls.effect for cls in self.settings.classes}
 
     def number(self, name: str) -> int:
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -59,3 +59,9 @@
         starts.forget(f"a{number}", NOW)
     starts.forget("other", NOW + seconds(3600))
     assert not starts.counted and not starts.gone
+
+
+def test_a_start_is_believed_as_far_back_as_lists_come_late():
+    starts = StartTimes(late_by=seconds(4))
+    assert starts.count("a", NOW - seconds(5.5), NOW, seconds(2)) == NOW - seconds(5.5)
+    assert starts.count("b", NOW - seconds(6.5), NOW, seconds(2)) == NOW - seconds(2)
