--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -206,14 +206,29 @@
     attempt = request.attempts[event.attempt]
     if event.result in PLACE:
         attempt.arrival = Arrival.ARRIVED
-    elif event.result is ev.Reservation.UNKNOWN and not attempt.over:
-        yield ev.Wake(now + ARRIVAL_GRACE, ev.ArrivalDue(event.id, request.taken, event.attempt))
+    elif event.result is ev.Reservation.UNKNOWN:
+        yield from on_unknown_prefill(state, now, request, event.attempt)
     if event.result in PLACE and not attempt.over:
         held = PLACE[event.result]
         yield from decide(state, now, api.Place(event.id, event.attempt, attempt.server, held))
     yield from sweep_up(state, now, event.id)
 
 
+def on_unknown_prefill(state: Conductor, now: timedelta, request: Request, index: int) -> Iterator[ev.Effect]:
+    """Go after a prefill of which a decode server did not know when it was asked for a place.
+
+    The reservation may have overtaken it, so the server is asked again; the second time it is a sign."""
+    attempt, endpoint = request.attempts[index], state.fleet.get(request.reserved_at)
+    if attempt.over or attempt.arrival is not Arrival.UNKNOWN:
+        return
+    if attempt.unknown_once:
+        yield ev.Wake(now + ARRIVAL_GRACE, ev.ArrivalDue(request.asked.id, request.taken, index))
+    elif endpoint is not None:
+        attempt.unknown_once = True
+        request.held.reservation_sent()
+        yield ev.Reserve(request.asked.id, index, endpoint)
+
+
 def on_release_answered(state: Conductor, now: timedelta, event: ev.ReleaseAnswered) -> Iterator[ev.Effect]:
     """Book a release call as over; where the endpoint did not take it, the next is asked."""
     request = state.requests.get(event.id)
--- a/hoplane/core/state.py
+++ b/hoplane/core/state.py
@@ -41,6 +41,7 @@
     endpoint: ev.Endpoint | None = None
     sent: bool = False  # bytes of it may have gone: until then it is no more than a connection that comes up
     arrival: Arrival = Arrival.UNKNOWN
+    unknown_once: bool = False  # a decode server that was asked for a place did not know of it
     may_have_run: bool = False  # it is over, and may have had an effect
     began: bool = False
     over: bool = False
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -362,7 +362,7 @@
 
     def force_close(self) -> None:
         """Close the connection; one over a request that was read and is not answered is told as a fault."""
-        if not self.idle and self.transport is not None:
+        if not self.idle and self.transport is not None and not self.transport.is_closing():
             log.say("invariant_broken", rule="closed_unanswered", open=self._request_count - self.answered)
         super().force_close()
 
