--- a/hoplane/net/acceptor.py
+++ b/hoplane/net/acceptor.py
@@ -9,7 +9,7 @@
 from enum import Enum, auto
 
 from hoplane import log
-from hoplane.net.arrival import Listener
+from hoplane.net.arrival import Listener, Loop
 
 FIRST_PAUSE = timedelta(milliseconds=1)  # after an accept that failed; doubled with each in a row
 LONGEST_PAUSE = timedelta(milliseconds=20)
@@ -76,6 +76,12 @@
 
     def start(self, accepted: socket.socket) -> None:
         """Hand a connection to a protocol of its own."""
+        if isinstance(self.loop, Loop):
+            try:
+                self.loop.take_connection(accepted, self.factory)
+            except OSError as error:  # it has gone already
+                self.broke_at_start(accepted, error)
+            return
         task = self.loop.create_task(self.connect(accepted))
         self.starting.add(task)
         task.add_done_callback(self.starting.discard)
@@ -84,8 +90,13 @@
         try:
             await self.loop.connect_accepted_socket(self.factory, accepted)
         except OSError as error:
-            log.seldom("connection_broke_at_start", error=repr(error))
-            accepted.close()
+            self.broke_at_start(accepted, error)
+
+    @staticmethod
+    def broke_at_start(accepted: socket.socket, error: OSError) -> None:
+        """Tell of a connection that ended before it was served."""
+        log.seldom("connection_broke_at_start", error=repr(error))
+        accepted.close()
 
     @property
     def drained(self) -> bool:
--- a/hoplane/net/arrival.py
+++ b/hoplane/net/arrival.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from collections import deque
+from collections.abc import Callable
 
 from hoplane.net.resilient_socket import ResilientSocket
 
@@ -39,6 +40,13 @@
         self.selector = TimedSelector()
         super().__init__(self.selector)
 
+    def take_connection(self, accepted: socket.socket, factory: Callable[[], asyncio.Protocol]) -> None:
+        """Serve an accepted connection by a protocol of its own, with no task for its start.
+
+        A flood of connections costs little this way; asyncio's public call makes a task for each."""
+        peer = accepted.getpeername()  # first: one that has gone already takes nobody's place
+        self._make_socket_transport(accepted, factory(), extra={"peername": peer})
+
 
 def input_since(loop: asyncio.AbstractEventLoop) -> float:
     """Give the loop's time since which the input now handled may have waited; now, on another loop."""
