--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -120,6 +120,7 @@
 
 def main(arguments: list[str]) -> int:
     """Read the configuration and serve."""
+    log.occupy_standard_streams()
     logging.basicConfig(level=logging.WARNING, handlers=[log.Lines()])
     parser = argparse.ArgumentParser(prog="hoplane", description="One conductor.")
     parser.add_argument("file", nargs="?", type=Path, help="serve KServe v2 as this file says")
--- a/hoplane/log.py
+++ b/hoplane/log.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import logging
+import os
 import time
+from contextlib import suppress
 from datetime import UTC, datetime, timedelta
 
 import orjson
@@ -28,6 +30,16 @@
 writer = LogWriter(STANDARD_ERROR, lambda lost: encode("log_lost", {"lines": lost}))
 
 
+def occupy_standard_streams() -> None:
+    """Open the null device in place of standard streams that were closed before the start.
+
+    Guards against the first socket getting the number of standard error, and the log in its stream."""
+    with suppress(OSError):
+        while (opened := os.open(os.devnull, os.O_RDWR)) <= STANDARD_ERROR:
+            pass
+        os.close(opened)
+
+
 def say(event: str, **facts: object) -> None:
     """Write a line; the page docs/on-call.md tells what each event means."""
     writer.put(encode(event, facts))
