--- a/hoplane/net/acceptor.py
+++ b/hoplane/net/acceptor.py
@@ -53,7 +53,7 @@
         """Accept the connections that wait, a bounded number of them before the loop comes round."""
         for _ in range(self.in_a_row):
             try:
-                accepted, _ = self.listener.accept()
+                accepted, peer = self.listener.accept()
                 accepted.setblocking(False)
             except (BlockingIOError, InterruptedError):
                 return
@@ -64,7 +64,7 @@
                 self.fail(error)
                 return
             self.pause = FIRST_PAUSE
-            self.start(accepted)
+            self.start(accepted, peer)
 
     def fail(self, error: OSError) -> None:
         """Pause for a moment: no error of accept is a reason to stop for good."""
@@ -74,11 +74,11 @@
         self.loop.call_later(self.pause.total_seconds(), self.resume)
         self.pause = min(2 * self.pause, LONGEST_PAUSE)
 
-    def start(self, accepted: socket.socket) -> None:
+    def start(self, accepted: socket.socket, peer: object) -> None:
         """Hand a connection to a protocol of its own."""
         if isinstance(self.loop, Loop):
             try:
-                self.loop.take_connection(accepted, self.factory)
+                self.loop.take_connection(accepted, peer, self.factory)
             except OSError as error:  # it has gone already
                 self.broke_at_start(accepted, error)
             return
--- a/hoplane/net/arrival.py
+++ b/hoplane/net/arrival.py
@@ -40,11 +40,12 @@
         self.selector = TimedSelector()
         super().__init__(self.selector)
 
-    def take_connection(self, accepted: socket.socket, factory: Callable[[], asyncio.Protocol]) -> None:
+    def take_connection(
+        self, accepted: socket.socket, peer: object, factory: Callable[[], asyncio.Protocol]
+    ) -> None:
         """Serve an accepted connection by a protocol of its own, with no task for its start.
 
         A flood of connections costs little this way; asyncio's public call makes a task for each."""
-        peer = accepted.getpeername()  # first: one that has gone already takes nobody's place
         self._make_socket_transport(accepted, factory(), extra={"peername": peer})
 
 
@@ -98,4 +99,6 @@
         behind = self.accepted_at[0] if full else self.queue_since
         self.accepted_at.append(input_since(loop))
         self.waiting_since[accepted.fileno()] = max(self.queue_since, behind)
-        return ResilientSocket(fileno=accepted.detach()), address
+        # With its form told, Python need not ask the kernel for it, connection by connection.
+        form = self.family, self.type, self.proto
+        return ResilientSocket(*form, fileno=accepted.detach()), address
