--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -6,6 +6,7 @@
 import os
 import sys
 import threading
+import time
 from datetime import timedelta
 
 import pytest
@@ -69,6 +70,22 @@
     assert writer.flush(SOON) and written == b"lost 2\nthird\n"
 
 
+def test_a_reader_that_is_gone_costs_a_bounded_number_of_writes(monkeypatch):
+    calls = []
+
+    def nobody_reads(descriptor, data):
+        calls.append(bytes(data))
+        raise BrokenPipeError(errno.EPIPE, "nobody reads")
+
+    monkeypatch.setattr(log_writer.os, "write", nobody_reads)
+    writer = LogWriter(DESCRIPTOR, lambda lost: b"lost %d\n" % lost)
+    for number in range(5):
+        writer.put(b"line %d\n" % number)
+        time.sleep(0.02)
+    assert len(calls) <= 2 * 5, "it writes on and on by itself"
+    assert writer.lost >= 5
+
+
 def test_the_buffer_is_bounded_and_no_caller_waits(out, monkeypatch):
     writer, written, _ = out
     blocked, fake = threading.Event(), log_writer.os.write
