Tell of lost log lines only while somebody reads

Cause: LogWriter.run queued the line that tells of lost ones whenever its queue was empty; with the reader gone that line was lost, counted and queued again, and the thread held the interpreter.

--- a/hoplane/log_writer.py
+++ b/hoplane/log_writer.py
@@ -28,6 +28,7 @@
         self.lines: deque[bytes] = deque()
         self.size = 0  # bytes in `lines`
         self.lost = 0  # lines that were dropped and have not been told of
+        self.reached = True  # the last line that was written reached a reader
         self.writing = False  # a line was taken from `lines` and is not out yet
         self.changed = threading.Condition()
         self.thread: threading.Thread | None = None
@@ -68,7 +69,8 @@
         """Write what is queued, for ever."""
         while True:
             with self.changed:
-                if not self.lines:
+                # Not where nobody reads: that line would be lost in turn, and told of, without end.
+                if not self.lines and self.reached:
                     self.append_lost_line()
                 while not self.lines:
                     self.changed.wait()
@@ -77,6 +79,7 @@
                 self.writing = True
             delivered = self.write(line)
             with self.changed:
+                self.reached = delivered
                 self.lost += not delivered
                 self.writing = False
                 self.changed.notify_all()
