--- a/hoplane/log_writer.py
+++ b/hoplane/log_writer.py
@@ -25,7 +25,7 @@
 
     def __init__(self, descriptor: int, lost_line: Callable[[int], bytes]) -> None:
         self.descriptor, self.lost_line = descriptor, lost_line
-        self.lines: deque[bytes] = deque()
+        self.lines: deque[tuple[bytes, int]] = deque()  # each with how many lines are lost with it
         self.size = 0  # bytes in `lines`
         self.lost = 0  # lines that were dropped and have not been told of
         self.reached = True  # the last line that was written reached a reader
@@ -40,18 +40,18 @@
                 self.lost += 1
                 return
             self.append_lost_line()
-            self.append(line)
+            self.append(line, stands_for=1)
             self.changed.notify_all()
             self.ensure_thread()
 
     def append_lost_line(self) -> None:
         """Queue the line that tells of dropped ones, if there were any."""
         if self.lost:
-            self.append(self.lost_line(self.lost))
+            self.append(self.lost_line(self.lost), stands_for=self.lost)
             self.lost = 0
 
-    def append(self, line: bytes) -> None:
-        self.lines.append(line)
+    def append(self, line: bytes, stands_for: int) -> None:
+        self.lines.append((line, stands_for))
         self.size += len(line)
 
     def ensure_thread(self) -> None:
@@ -74,13 +74,13 @@
                     self.append_lost_line()
                 while not self.lines:
                     self.changed.wait()
-                line = self.lines.popleft()
+                line, stands_for = self.lines.popleft()
                 self.size -= len(line)
                 self.writing = True
             delivered = self.write(line)
             with self.changed:
                 self.reached = delivered
-                self.lost += not delivered
+                self.lost += 0 if delivered else stands_for
                 self.writing = False
                 self.changed.notify_all()
 
