--- a/hoplane/emulator/endpoints.py
+++ b/hoplane/emulator/endpoints.py
@@ -211,6 +211,7 @@
             writer.write(message("HTTP/1.1 410 Gone", X_Unprocessed=1))
             return
         self.oracle.decodes(id, self.name)
+        began = False
         try:
             ended = await self.works(FIRST_TOKEN, reader)
             if not ended:
@@ -218,10 +219,11 @@
             elif self.mood is Mood.FAILS:
                 writer.write(message("HTTP/1.1 500 Internal Server Error"))
             else:
+                began = True
                 self.oracle.first_token(id)
                 await self.stream(writer)
         finally:
-            self.oracle.decode_ended(id)
+            self.oracle.decode_ended(id, began)
 
     async def stream(self, writer: asyncio.StreamWriter) -> None:
         """Write an answer's events, each with the time of its writing, and its end."""
--- a/hoplane/emulator/oracle.py
+++ b/hoplane/emulator/oracle.py
@@ -68,6 +68,7 @@
     answered: bool = False
     reading: int = 0
     decoding: int = 0
+    waiting: int = 0  # decode attempts whose stream has not begun: what is held is theirs
     may_have_run: bool = False  # at a decode endpoint
     held: set[str] = field(default_factory=set)
     held_since: float | None = None  # from when the rule's time runs; None while it does not
@@ -220,7 +221,7 @@
     def releases(self, id: str) -> None:
         """Note that all that no attempt waits for is let go."""
         record = self.requests.get(id)
-        if record is not None and not record.decoding:
+        if record is not None and not record.waiting:
             self.judge_held(record)
             record.held.clear()
             self.run_clock(record)
@@ -237,6 +238,7 @@
             self.broken(Rule.DUPLICATE, record.conductor, f"{id} may have run before")
         record.may_have_run = True
         record.decoding += 1
+        record.waiting += 1
         self.run_clock(record)
 
     def first_token(self, id: str) -> None:
@@ -244,11 +246,13 @@
         record = self.requests[id]
         self.judge_held(record)
         record.held.clear()
+        record.waiting -= 1
 
-    def decode_ended(self, id: str) -> None:
-        """Note the end of a decode attempt."""
+    def decode_ended(self, id: str, began: bool) -> None:
+        """Note the end of a decode attempt, and whether its stream had begun."""
         record = self.requests[id]
         record.decoding -= 1
+        record.waiting -= not began
         self.run_clock(record, anew=True)
 
     def out(self, record: RequestRecord, endpoint: str) -> None:
