--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -1,10 +1,12 @@
 """The last look before an attempt is written: each rule forbids it alone, and a path round it is counted."""
 
+import asyncio
 from dataclasses import replace
 from datetime import timedelta
 
 import pytest
-from core_driver import MS, SECOND, Core, endpoint
+from core_driver import MS, SECOND, Core, endpoint, start
+from standins import Server, accept_release, hang, run
 
 from hoplane.core import events as ev
 from hoplane.core.permits import Denial, check_write
@@ -103,3 +105,34 @@
     said = [say for say in core.of(ev.Say) if say.event == "request_refused"]
     assert said and said[0].facts["attempts"] == ["r error", "r error"]
     assert said[0].facts["why"] == "no_more_attempts"
+
+
+def test_a_decode_server_that_drains_is_not_asked_a_second_time_for_a_place(core):
+    core.ask()
+    (reserve,) = core.of(ev.Reserve)
+    core.do(ev.Listed((replace(reserve.endpoint, state=State.DRAINING),), False))
+    core.do(ev.ReservationEnded("q", 0, ev.Reservation.UNKNOWN), 300 * MS)
+    assert not core.of(ev.Reserve)
+
+
+def test_a_reservation_is_looked_at_once_more_when_its_connection_is_up():
+    async def test():
+        async with Server(accept_release) as reader, Server(hang) as writer:
+            runtime = start(reader, writer)
+            runtime.exchanges["q"] = None
+            asked = ev.Asked("q", "lookup", 100, 20, timedelta(seconds=3), session="s")
+            runtime.state.router.handle = lambda now, event: []
+            runtime.feed(asked)
+            (drained,) = [each for each in runtime.state.fleet.values() if each.kind == "decode"]
+            runtime.state.fleet[runtime.state.numbers[drained.name]] = replace(drained, state=State.DRAINING)
+            sent, told = asyncio.Event(), []
+            sent.set()
+            runtime.held_calls.feed = told.append
+            reading = asyncio.ensure_future(asyncio.sleep(1))
+            await runtime.held_calls.reserve(ev.Reserve("q", 0, drained), sent, lambda: reading)
+            assert [each.result for each in told] == [ev.Reservation.NOT_HELD]
+            assert not writer.calls
+            reading.cancel()
+            await runtime.pool.close()
+
+    run(test())
