Look once more before a reservation is written, as before an attempt

Cause: the second reservation went to the server of the first without a look at its state (core/reducer.py, on_unknown_prefill), and no reservation was looked at when its connection was up, as attempts are: the same mistake, older.

--- a/hoplane/core/permits.py
+++ b/hoplane/core/permits.py
@@ -18,7 +18,7 @@
 class Denial(Enum):
     """Why an attempt may not be written."""
 
-    CLIENT_GONE = "client_gone"  # or it has its answer
+    CLIENT_GONE = "client_gone"  # or it has its answer, or the prefill that a place is for is over
     TIME_OVER = "time_over"
     REPEAT_WINDOW_OVER = "repeat_window_over"
     ENDPOINT_DRAINS = "endpoint_drains"  # or is listed no more
@@ -58,6 +58,16 @@
     return check_others(state, request, attempt)
 
 
+def check_reservation(state: Conductor, request: Request | None, index: int, name: str) -> Denial | None:
+    """Tell why a decode server may not be asked for a place now, None if it may. Changes nothing."""
+    if request is None or request.closed or request.attempts[index].over:
+        return Denial.CLIENT_GONE
+    listed = state.fleet.get(state.numbers.get(name, -1))
+    if listed is None or listed.state is not State.LIVE:
+        return Denial.ENDPOINT_DRAINS
+    return None
+
+
 def check_others(state: Conductor, request: Request, attempt: Attempt) -> Denial | None:
     """Tell whether another attempt of the request forbids this one."""
     effect = state.effects[request.asked.cls]
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -7,7 +7,7 @@
 
 from hoplane.core import events as ev
 from hoplane.core.held import HeldState, Holding
-from hoplane.core.permits import LATE_ANSWER, Invariant, check_write
+from hoplane.core.permits import LATE_ANSWER, Invariant, check_reservation, check_write
 from hoplane.core.releases import go_on_releasing, note_answer, stop_releases, wake_for_release
 from hoplane.core.state import Arrival, Attempt, Conductor, Request, abandon
 from hoplane.core.units import to_ns, to_span
@@ -223,7 +223,7 @@
         return
     if attempt.unknown_once:
         yield ev.Wake(now + ARRIVAL_GRACE, ev.ArrivalDue(request.asked.id, request.taken, index))
-    elif endpoint is not None:
+    elif endpoint is not None and check_reservation(state, request, index, endpoint.name) is None:
         attempt.unknown_once = True
         request.held.reservation_sent()
         yield ev.Reserve(request.asked.id, index, endpoint)
--- a/hoplane/net/held_calls.py
+++ b/hoplane/net/held_calls.py
@@ -8,6 +8,8 @@
 
 from hoplane import log
 from hoplane.core import events as ev
+from hoplane.core.permits import Denial
+from hoplane.net.outgoing import BeforeWrite, Withdrawn
 from hoplane.net.pool import Pool
 
 RELEASE_TIMEOUT = timedelta(seconds=2)  # of one call, which is given up once another one is heard
@@ -31,8 +33,9 @@
         path: Callable[[str], str | None],
         spawn: Callable[[Coroutine], asyncio.Task],
         feed: Callable[[ev.Event], None],
+        check: Callable[[ev.Reserve], Denial | None],
     ) -> None:
-        self.pool, self.path, self.spawn, self.feed = pool, path, spawn, feed
+        self.pool, self.path, self.spawn, self.feed, self.check = pool, path, spawn, feed, check
         self.releases: dict[str, set[asyncio.Task]] = {}  # the release calls that are out, by request
         self.awaited: dict[str, asyncio.Event] = {}  # set when an endpoint has taken a release, by request
 
@@ -93,19 +96,30 @@
             if prefill_sent is not None and path is not None:
                 await prefill_sent.wait()
                 if prefill := running_prefill():
-                    result = await self.call_reservation(effect.endpoint.address, path, prefill)
+                    address = effect.endpoint.address
+                    result = await self.call_reservation(
+                        address, path, prefill, lambda headers, transport: self.look(effect)
+                    )
         except BaseException:
             result = ev.Reservation.UNANSWERED
             raise
         finally:
             self.feed(ev.ReservationEnded(effect.id, effect.attempt, result))
 
-    async def call_reservation(self, address: str, path: str, prefill: asyncio.Task) -> ev.Reservation:
+    def look(self, effect: ev.Reserve) -> None:
+        """Withdraw a reservation whose reason has gone by the time that its connection is up."""
+        if (denial := self.check(effect)) is not None:
+            log.seldom("reservation_withdrawn", request=effect.id, why=denial.value)
+            raise Withdrawn
+
+    async def call_reservation(
+        self, address: str, path: str, prefill: asyncio.Task, complete: BeforeWrite | None = None
+    ) -> ev.Reservation:
         """Make a reservation call; one that has not been written when the prefill ends is dropped.
 
         Guards against a connection that comes up late: the reservation would be held for nobody."""
         written = asyncio.Event()
-        work = self.pool.call("POST", address, path, RESERVATION_TIMEOUT, written)
+        work = self.pool.call("POST", address, path, RESERVATION_TIMEOUT, written, complete=complete)
         call = asyncio.get_running_loop().create_task(work)
         try:
             await asyncio.wait({call, prefill}, return_when=asyncio.FIRST_COMPLETED)
--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -121,11 +121,13 @@
         within: timedelta,
         sent: asyncio.Event | None = None,
         for_release: bool = False,
+        complete: BeforeWrite | None = None,
     ) -> int | None:
         """Make a call without a body and give the answer's status, None where none came."""
         try:
             async with asyncio.timeout(within.total_seconds()):
-                async with self.request(method, address, path, sent, for_release=for_release) as answer:
+                call = self.request(method, address, path, sent, None, complete, for_release)
+                async with call as answer:
                     await answer.read()
                     return answer.status
         except (aiohttp.ClientError, TimeoutError, OSError):
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -14,7 +14,7 @@
 from hoplane.config import Config
 from hoplane.core import events as ev
 from hoplane.core.ledger import Ledger
-from hoplane.core.permits import check_write
+from hoplane.core.permits import Denial, check_reservation, check_write
 from hoplane.core.reducer import Conductor, reduce
 from hoplane.decision.interface import FAILED_HERE, KEPT, Status
 from hoplane.decision.rules import Router
@@ -71,7 +71,9 @@
         self.attempts: dict[tuple[str, int], asyncio.Task] = {}
         self.sent: dict[tuple[str, int], asyncio.Event] = {}
         self.tasks: set[asyncio.Task] = set()
-        self.held_calls = HeldStateCalls(pool, reservation_path, self.spawn, self.feed)
+        self.held_calls = HeldStateCalls(
+            pool, reservation_path, self.spawn, self.feed, self.check_reservation
+        )
         self.queue: deque[ev.Event] = deque()
         self.busy = False
         self.effects = {
@@ -155,6 +157,11 @@
         prefill_sent = self.sent.get(key)
         self.spawn(self.held_calls.reserve(effect, prefill_sent, lambda: self.attempts.get(key)))
 
+    def check_reservation(self, effect: ev.Reserve) -> Denial | None:
+        """Tell why a place may not be asked for now, None if it may."""
+        request = self.state.requests.get(effect.id)
+        return check_reservation(self.state, request, effect.attempt, effect.endpoint.name)
+
     # --- work
 
     def over(self, effect: ev.Forward, task: asyncio.Task) -> None:
