--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -74,7 +74,7 @@
         def __init__(self):
             self.up, self.calls, self.written = asyncio.Event(), 0, 0
 
-        async def call(self, method, address, path, wait, sent):
+        async def call(self, method, address, path, wait, sent, complete=None):
             self.calls += 1
             await self.up.wait()
             sent.set()
