--- a/hoplane/emulator/conductors.py
+++ b/hoplane/emulator/conductors.py
@@ -80,6 +80,7 @@
 
     async def start(self) -> None:
         """Start the process and wait until it is ready."""
+        self.agent.reset()  # what still goes to the process before is told to nobody
         self.oracle.restarted(self.name)
         if self.agent.server is None:
             await self.agent.start()
--- a/hoplane/emulator/discovery.py
+++ b/hoplane/emulator/discovery.py
@@ -112,6 +112,8 @@
         body = orjson.dumps(told)
         self.bytes_written += len(body)
         writer.write(message("HTTP/1.1 200 OK", body))
+        if writer.transport.is_closing():
+            return
         for entry in told["endpoints"]:
             if entry["status"] != "Ready":
                 self.registry.oracle.is_told(self.conductor, entry["name"])
