--- a/tests/test_fleet_cost.py
+++ b/tests/test_fleet_cost.py
@@ -26,8 +26,10 @@
     return calls
 
 
+@pytest.mark.parametrize("cell", [6, 10_000], ids=["small cells", "one cell"])
 @pytest.mark.parametrize("layer", [Decisions, Core])
-def test_a_request_and_a_change_cost_as_much_with_sixteen_times_the_endpoints(layer):
+def test_a_request_and_a_change_cost_as_much_with_sixteen_times_the_endpoints(layer, cell, monkeypatch):
+    monkeypatch.setattr("benchmarks.fleet_cost.CELL", cell)
     usual, large = layer(100, routers=200), layer(1600, routers=200)
     for player in (usual, large):
         for _ in range(40):
