Look at a bounded part of a read's cell, and weigh a cell anew only when its points shift

Cause: writers_near took the whole cell of the read, and a change of the list weighed all readers of its cell; where a fleet is one cell both grow with it.

--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -71,6 +71,7 @@
         self.servers = Servers(settings.kinds)
         self.live = self.servers.live
         self.ring = Ring()
+        self.cell_points: dict[int, int] = {}  # of a reader, by cell, as it was weighed last
         self.subset_ring = Ring()  # a point for each writer
         self.even = 0.0  # readers to a writer, by which the ring was weighed last
         self.subset: tuple[int, list[Server]] = (-1, [])  # this router's writers, for a version of the list
@@ -126,10 +127,16 @@
         In a large fleet those of the cells that changed, and all once its roles have shifted."""
         even, self.even = self.even, self.readers_to_writers()
         if even != self.even:
+            self.cell_points = {cell: self.reader_points(cell) for cell in self.servers.by_cell}
             return dict.fromkeys((*changed, *self.live(READERS)))
-        cells = {server.entry.cell for server in changed}
+        cells = [cell for cell in {server.entry.cell for server in changed} if self.cell_shifted(cell)]
         return dict.fromkeys((*changed, *(s for cell in cells for s in self.servers.by_cell.get(cell, ()))))
 
+    def cell_shifted(self, cell: int) -> bool:
+        """Tell whether a reader of a cell has other points now than when the cell was weighed last."""
+        before, self.cell_points[cell] = self.cell_points.get(cell), self.reader_points(cell)
+        return before != self.cell_points[cell]
+
     def readers_to_writers(self) -> float:
         """Give how many readers there are to a writer; in a large fleet in steps, the same at all routers."""
         readers, writers = self.servers.count(Role.READ), self.servers.count(Role.WRITE)
@@ -142,9 +149,13 @@
         """Give how many points on the ring a server has: the fewer, the less its cell's writers can take."""
         if server.entry.state is not State.LIVE or server.role not in READERS:
             return 0
-        cell, cells = server.entry.cell, self.servers.cells
         if server.role is Role.BOTH:
             return round(POINTS / (1 + self.even))
+        return self.reader_points(server.entry.cell)
+
+    def reader_points(self, cell: int) -> int:
+        """Give how many points a reader of a cell has."""
+        cells = self.servers.cells
         near = self.even * cells[Role.WRITE, cell] / max(1, cells[Role.READ, cell])
         return round(POINTS * min(1.0, max(PAIRED, near)))
 
@@ -762,7 +773,8 @@
         found = self.usable(WRITERS, job.pair)
         if self.servers.count(*WRITERS) <= CANDIDATES:
             return found
-        near = self.servers.by_cell.get(job.near.entry.cell, ()) if job.near else ()
+        cell = self.servers.by_cell.get(job.near.entry.cell) if job.near else None
+        near = cell.spread(CANDIDATES, self.rng.getrandbits(16)) if cell else []
         more = [s for s in near if s.role in WRITERS and self.takes(s, job.pair)]
         place = [job.place] if job.place and job.place.entry.state is State.LIVE else []
         return list(dict.fromkeys((*found, *more, *place)))
--- a/hoplane/decision/servers.py
+++ b/hoplane/decision/servers.py
@@ -19,7 +19,7 @@
         super().__init__()
         self.kinds = {kind.name: kind for kind in kinds}
         self.by_role: dict[Role, IndexedSet[Server]] = {role: IndexedSet() for role in Role}  # live ones
-        self.by_cell: dict[int, dict[Server, None]] = {}  # live ones
+        self.by_cell: dict[int, IndexedSet[Server]] = {}  # live ones
         self.cells: Counter[tuple[Role, int]] = Counter()  # how many live ones, by role and cell
         self.gone: dict[int, Server] = {}  # that are kept while we await an attempt there
         self.recent: dict[Role, dict[Server, None]] = {role: {} for role in Role}  # lately used last
@@ -71,7 +71,7 @@
         if entry.state is not State.LIVE:
             return
         self.by_role[server.role].add(server)
-        self.by_cell.setdefault(entry.cell, {})[server] = None
+        self.by_cell.setdefault(entry.cell, IndexedSet()).add(server)
         self.cells[server.role, entry.cell] += 1
 
     def unindex(self, server: Server) -> None:
@@ -83,7 +83,7 @@
         self.by_role[server.role].discard(server)
         self.recent[server.role].pop(server, None)
         cell = self.by_cell[entry.cell]
-        del cell[server]
+        cell.discard(server)
         if not cell:
             del self.by_cell[entry.cell]
         self.cells[server.role, entry.cell] -= 1
