--- a/tests/standins.py
+++ b/tests/standins.py
@@ -8,6 +8,7 @@
 import sys
 from contextlib import asynccontextmanager
 
+from hoplane.emulator.conductors import free_port
 from hoplane.emulator.http import STREAM_HEAD, chunk, message, read_message
 
 LIMIT = 20  # seconds that any wait may take before a test fails
@@ -17,12 +18,6 @@
     return asyncio.wait_for(work, seconds)
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 STREAM = STREAM_HEAD
 EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}\n\n'
 USAGE = b'data: {"choices":[],"usage":{"prompt_tokens":9,"prompt_tokens_details":{"cached_tokens":4}}}\n\n'
