Show by tests that what is held for a request can outlive its release time

Cause, as the reports of the incident and plays with real processes show: (1) a release that is made while a decode attempt waits for the KV state passes it by, and its acknowledgement empties an abandoned lease all the same; (2) a release that nobody acknowledges ends after 25 rounds, and the lease is forgotten; (3) a reservation whose prefill no process reads has no release due where no second answer comes.

Change: tests with real processes over gated endpoints, which also stop answering releases and cut answers short.

--- /dev/null
+++ b/tests/emulator/test_release_without_answers.py
@@ -0,0 +1,84 @@
+"""What is held for a request is released in time though the answers that should tell of it never come."""
+
+import asyncio
+
+import pytest
+from gated_deployment import gated_deployment
+from stand_ins import FACTS, SETTINGS, chat_request, registry_entry, run
+
+MS = 1_000_000  # nanoseconds
+RELEASE_TIMEOUTS = [60 * MS, 400 * MS]
+ONE_OF_EACH = {"r1": "prefill", "w1": "decode"}
+LONGER_THAN_ANY_BUDGET = 6.0  # seconds: a release used to be given up after some 5.4
+DECODES_FOREVER = 9000  # milliseconds that a client waits whose class must not be repeated
+
+
+def customer(release_timeout, reservations):
+    """Return the settings of a customer with another release timeout."""
+    family = {"ahead": reservations, "release_within": release_timeout}
+    return {**SETTINGS, "family_info": {**SETTINGS["family_info"], **family}}
+
+
+def test_a_release_that_nobody_acknowledges_for_long_is_not_forgotten(tmp_path):
+    """The calls of a release were spent while a decode attempt waited for the KV state, where they could not
+    succeed, and the lease was then forgotten: "when the attempt is given up 5.7 s after the prefill, and
+    endpoints acknowledge again, no release is made any more"."""
+
+    async def test():
+        settings = customer(300 * MS, reservations=False)
+        async with gated_deployment(tmp_path, settings, ONE_OF_EACH) as deployment:
+            deployment["w1"].finish.clear()
+            for endpoint in deployment.endpoints.values():
+                endpoint.answers_releases = False
+            _, writer = await deployment.router.connect()
+            writer.write(chat_request("r1", cls="booking", left=DECODES_FOREVER, facts=FACTS))
+            await deployment.record.wait_until(lambda: deployment.record.of("r1").decodes)
+            await asyncio.sleep(LONGER_THAN_ANY_BUDGET)
+            for endpoint in deployment.endpoints.values():
+                endpoint.answers_releases = True
+            writer.close()
+            assert await deployment.record.final_violations() == []
+
+    run(test())
+
+
+async def answer_nothing(deployment):
+    """Let the decode endpoint answer no reservation."""
+    deployment["w1"].answers_reservations = False
+
+
+async def answer_once(deployment):
+    """Let the decode endpoint answer only the first reservation, by not knowing its prefill."""
+    await deployment.until_called("w1", "POST /v1/holds")
+    deployment["w1"].answers_reservations = False
+
+
+async def answer_once_and_drain(deployment):
+    """Let the decode endpoint answer the first reservation, and drain before it could be asked again."""
+    await deployment.until_called("w1", "POST /v1/holds")
+    draining = registry_entry("w1", deployment["w1"].address, "decode", "Terminating")
+    await deployment.router.discovery.publish([draining])
+
+
+@pytest.mark.parametrize("release_timeout", RELEASE_TIMEOUTS)
+@pytest.mark.parametrize("answers", [answer_nothing, answer_once, answer_once_and_drain])
+def test_a_reservation_whose_prefill_no_process_reads_is_released(tmp_path, release_timeout, answers):
+    """The prefill endpoint's machine acknowledged the bytes, and its process never read them: "bytes 5.255 to
+    5.262, taken -". Only an answer to the reservation made a release due, and none came that settled it."""
+
+    async def test():
+        settings = customer(release_timeout, reservations=True)
+        async with gated_deployment(tmp_path, settings, ONE_OF_EACH) as deployment:
+            deployment["r1"].inbound.clear()
+            if answers is answer_nothing:
+                await answers(deployment)
+            _, writer = await deployment.router.connect()
+            writer.write(chat_request("r1", facts=FACTS))
+            if answers is not answer_nothing:
+                await answers(deployment)
+            await deployment.until_leased("r1")
+            assert await deployment.record.final_violations() == []
+            deployment["r1"].inbound.set()
+            writer.close()
+
+    run(test())
--- a/tests/support/gated_endpoint.py
+++ b/tests/support/gated_endpoint.py
@@ -28,6 +28,8 @@
         self.finish = asyncio.Event()
         self.finish.set()
         self.answers_reservations = True
+        self.answers_releases = True
+        self.cuts_prefill_answers = False  # their head comes and their body never ends
         self.grants_reservations = True
         self.resets_prefills = False
         self.calls: list[str] = []  # method and path of each
@@ -120,6 +122,8 @@
         async with self._record.changing(request_id) as request:
             if not request.decodes:
                 request.leased = set()
+        if not self.answers_releases:
+            await asyncio.Event().wait()
         writer.write(message("HTTP/1.1 204 No Content"))
 
     async def _reserve(self, request_id: str, writer: asyncio.StreamWriter) -> None:
@@ -165,7 +169,8 @@
             if completed:
                 request.leased = {*request.leased, self._kv_state}
         if completed:
-            writer.write(message("HTTP/1.1 202 Accepted", b'{"cached_tokens":0}'))
+            answer = message("HTTP/1.1 202 Accepted", b'{"cached_tokens":0}')
+            writer.write(answer[:-1] if self.cuts_prefill_answers else answer)
         else:
             writer.close()
 
