Keep a lease while a decode attempt may wait for what a release passed by

Cause: a release frees nothing that an attempt waits for, but its acknowledgement emptied an ORPHANED lease, and the end of a decode attempt counted for an AVAILABLE one only. A request whose KV state is given up after a silent decode attempt goes to an endpoint that prefills by itself; when that attempt is given up too, nothing was released any more. In the reports the next attempt comes 1 to 6 ms after the one before, which no prefill can, as it waits for a release that starts after 15 ms.

Change: the lease knows the running decode attempts (claims). It is not emptied while there is one, and its end leaves what it waited for behind, whatever the state.

--- a/llm_router/lifecycle/attempt_events.py
+++ b/llm_router/lifecycle/attempt_events.py
@@ -36,7 +36,6 @@
         AttemptStatus.RESET,
     }
 )
-NEVER_ARRIVED = frozenset({AttemptStatus.CONNECT_FAILED, AttemptStatus.NOT_SENT})
 
 
 def on_attempt_written(
@@ -47,7 +46,10 @@
     if request is None:
         return
     denial = write_denial(state, now, request, event.attempt, request.deadline)
-    request.attempts[event.attempt].change(AttemptChange.WRITTEN)
+    attempt = request.attempts[event.attempt]
+    attempt.change(AttemptChange.WRITTEN)
+    if attempt.is_running and not attempt.is_prefill:
+        request.lease.decode_written(event.attempt)
     if denial is not None:
         yield record_violation(state, Invariant.WRITE_ALLOWED, event.request_id, denial.value)
     yield from schedule_release(request)
@@ -113,11 +115,11 @@
     yield from _record_metrics(state, now, attempt, status)
     if had_response or status is AttemptStatus.OK:
         request.change(RequestChange.CLOSED)
-    if status in ONLY_WRITTEN or (attempt.was_written and status not in NEVER_ARRIVED):
+    if attempt.was_written or status in ONLY_WRITTEN:
         if attempt.is_prefill:
             request.lease.prefill_ended(now, status)
         elif not had_response:
-            request.lease.decode_ended(now, status)
+            request.lease.decode_ended(event.attempt, now, status)
         yield from cancel_release_calls(request)
     _record_contact(state, now, attempt, status, event.connection_fault)
     yield from consult_policy(state, now, _policy_event(event, now, request, attempt, status))
--- a/llm_router/lifecycle/kv_lease.py
+++ b/llm_router/lifecycle/kv_lease.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum, auto
 
@@ -33,6 +33,8 @@
     AttemptStatus.RESET: MAX_PREFILL_RUN_ON,
 }
 
+NEVER_ARRIVED = frozenset({AttemptStatus.CONNECT_FAILED, AttemptStatus.NOT_SENT})
+
 
 class LeaseState(Enum):
     """What is known of a request's KV state and reservations."""
@@ -95,6 +97,7 @@
     orphaned_at: timedelta = timedelta()  # when something was last left that no attempt will claim
     prefill_may_run_until: timedelta = timedelta()  # until then a prefill whose connection broke may end well
     pending_reservations: int = 0  # reservation calls that have not ended
+    claims: set[int] = field(default_factory=set)  # running decode attempts: what they wait for stays
     release_calls: ReleaseCalls | None = None  # the calls of the release that is being made
 
     @property
@@ -131,16 +134,27 @@
             if self.state is LeaseState.ORPHANED:
                 self.release_at = now + CLOSE_SETTLE_TIME  # the time counts anew from this outcome
 
-    def decode_ended(self, now: timedelta, status: AttemptStatus) -> None:
-        """Record the end of a written attempt that was to claim the KV state, which waits for another.
+    def decode_written(self, attempt: int) -> None:
+        """Record that a decode attempt may have reached its endpoint, and may wait for the KV state there."""
+        self.claims.add(attempt)
 
-        The endpoint may learn later that the attempt was aborted, and till then a release passes the KV
-        state by."""
-        if self.state is not LeaseState.AVAILABLE:
+    def decode_ended(self, attempt: int, now: timedelta, status: AttemptStatus) -> None:
+        """Record the end of a written decode attempt that has not claimed the KV state.
+
+        The KV state waits for another attempt, or it must be released now. The endpoint may learn later that
+        the attempt was aborted, and till then a release passes the KV state by."""
+        self.claims.discard(attempt)
+        if status in NEVER_ARRIVED:
+            self._finish_if_released()  # it waited for nothing
             return
-        self.release_at = self._claim_deadline(now)
-        if status in LATE_PREFILL_WINDOWS:
-            self.may_arrive_until = max(self.may_arrive_until, now + MAX_CLOSE_DELAY)
+        if self.is_finished:
+            return
+        closed_by = now + MAX_CLOSE_DELAY if status in LATE_PREFILL_WINDOWS else now
+        if self.state is LeaseState.AVAILABLE:
+            self.release_at = self._claim_deadline(now)
+            self.may_arrive_until = max(self.may_arrive_until, closed_by)
+        else:
+            self._leave_behind(now + CLOSE_SETTLE_TIME, closed_by)
 
     def reservation_sent(self) -> None:
         """Record that a reservation call has started."""
@@ -174,6 +188,7 @@
 
         What came to be held a moment later, by a call that was still out, is left behind."""
         self.release_calls = None
+        self.claims.clear()
         self._released(now)
 
     def release_started(self, calls: ReleaseCalls) -> None:
@@ -230,14 +245,25 @@
         """Record that all that was held before a moment has gone; plan for what may still come."""
         self.released_before = max(self.released_before, moment)
         self._change(LeaseChange.PARTLY_RELEASED)
-        interval = DEFAULT_RELEASE_INTERVAL if self.release_timeout is None else self.release_timeout
-        self._release_by(moment + max(interval - RELEASE_MARGIN, MIN_RELEASE_INTERVAL))
+        if self._more_may_arrive:
+            interval = DEFAULT_RELEASE_INTERVAL if self.release_timeout is None else self.release_timeout
+            self._release_by(moment + max(interval - RELEASE_MARGIN, MIN_RELEASE_INTERVAL))
+        else:
+            self.release_at = None  # what a decode attempt waits for is released after its end
         self._finish_if_released()
 
+    @property
+    def _more_may_arrive(self) -> bool:
+        """Whether something may have come to be held since the last release, or may yet."""
+        return bool(self.pending_reservations) or self.released_before < self.may_arrive_until
+
     def _finish_if_released(self) -> None:
-        """Empty an orphaned lease once nothing can have come after the moment before which all has gone."""
-        if self.state is not LeaseState.ORPHANED or self.release_calls is not None:
+        """Empty an orphaned lease once a release has freed all that can have come to be held.
+
+        A release frees nothing that a decode attempt waits for: its acknowledgement proves nothing while one
+        runs."""
+        if self.state is not LeaseState.ORPHANED or self.release_calls is not None or self.claims:
             return
-        if not self.pending_reservations and self.released_before >= self.may_arrive_until:
+        if not self._more_may_arrive:
             self._change(LeaseChange.FULLY_RELEASED)
             self.release_at = None
--- a/tests/lifecycle/test_lease_releases.py
+++ b/tests/lifecycle/test_lease_releases.py
@@ -99,7 +99,7 @@
     release_at = lease.release_at
     lifecycle.feed(events.AttemptEnded("q", 1, AttemptStatus.CONNECT_FAILED), 20 * MILLISECOND)
     assert lease.release_at == release_at < prefilled_at + 500 * MILLISECOND
-    lease.decode_ended(lifecycle.now, status)
+    lease.decode_ended(1, lifecycle.now, status)
     assert lifecycle.now < lease.release_at < lifecycle.now + 500 * MILLISECOND
 
 
