Go on with a release that nobody acknowledges, and begin it anew where it can succeed

Cause: a release had 25 rounds, some five seconds, and then the lease was forgotten, also one whose decode attempt still waited. The calls were spent in that phase, in which they cannot free what the attempt waits for.

Change: after 25 rounds the release goes on twice a second for a minute. The end of a decode attempt, or the abandonment of the lease, begins a running release anew; calls that are out for a KV state that the next attempt may take are cancelled. A process that ends waits for its releases for 6 s at most, and logs what is left.

--- a/llm_router/lifecycle/kv_lease.py
+++ b/llm_router/lifecycle/kv_lease.py
@@ -76,7 +76,6 @@
         LeaseState.ORPHANED: LeaseState.EMPTY,
     },
     LeaseChange.EXPIRED: {
-        LeaseState.AVAILABLE: LeaseState.EMPTY,
         LeaseState.ORPHANED: LeaseState.EMPTY,
     },
 }
@@ -151,6 +150,7 @@
             return
         closed_by = now + MAX_CLOSE_DELAY if status in LATE_PREFILL_WINDOWS else now
         if self.state is LeaseState.AVAILABLE:
+            self.release_calls = None  # it would take the KV state from the next attempt
             self.release_at = self._claim_deadline(now)
             self.may_arrive_until = max(self.may_arrive_until, closed_by)
         else:
@@ -180,8 +180,7 @@
             return
         self._change(LeaseChange.ABANDONED)
         self.orphaned_at = now
-        if self.release_calls is None:
-            self._release_by(now + CLOSE_SETTLE_TIME if now < self.may_arrive_until else now)
+        self._release_by(now + CLOSE_SETTLE_TIME if now < self.may_arrive_until else now)
 
     def response_started(self, now: timedelta) -> None:
         """Record that the response has started: all that was held went with it.
@@ -210,10 +209,11 @@
         self.release_calls = None
         if self.state is LeaseState.AVAILABLE:
             self.released_before = max(self.released_before, started_at)
+            self._plan_next_release(started_at)
         else:
             self._released(started_at)
 
-    def release_unacknowledged(self) -> None:
+    def release_expired(self) -> None:
         """Give up: no endpoint has acknowledged a release for long; they free by themselves what is left."""
         self._change(LeaseChange.EXPIRED)
         self.release_calls = None
@@ -238,19 +238,30 @@
             self._release_by(release_at)
 
     def _release_by(self, moment: timedelta) -> None:
-        """Bring the next release forward to a time, unless it is due earlier."""
-        self.release_at = moment if self.release_at is None else min(self.release_at, moment)
+        """Bring the next release forward to a time, unless it is due earlier.
+
+        One that is being made begins anew: its calls may have been spent while they could free nothing."""
+        if self.release_calls is not None:
+            self.release_calls.restart(moment)
+        else:
+            self.release_at = moment if self.release_at is None else min(self.release_at, moment)
 
     def _released(self, moment: timedelta) -> None:
         """Record that all that was held before a moment has gone; plan for what may still come."""
         self.released_before = max(self.released_before, moment)
         self._change(LeaseChange.PARTLY_RELEASED)
+        self._plan_next_release(moment)
+        self._finish_if_released()
+
+    def _plan_next_release(self, moment: timedelta) -> None:
+        """Plan the release after one that started at a moment, for what may still come to be held.
+
+        None is due for what a decode attempt waits for, before its end."""
         if self._more_may_arrive:
             interval = DEFAULT_RELEASE_INTERVAL if self.release_timeout is None else self.release_timeout
             self._release_by(moment + max(interval - RELEASE_MARGIN, MIN_RELEASE_INTERVAL))
         else:
-            self.release_at = None  # what a decode attempt waits for is released after its end
-        self._finish_if_released()
+            self.release_at = None
 
     @property
     def _more_may_arrive(self) -> bool:
--- a/llm_router/lifecycle/release_calls.py
+++ b/llm_router/lifecycle/release_calls.py
@@ -12,8 +12,10 @@
 CALLS_PER_ROUND = (1, 2, 4, 4, 4)  # calls of each of the first rounds; each further round makes one
 ROUND_INTERVAL = timedelta(milliseconds=70)  # after one of the first rounds, other endpoints are called too
 LATER_ROUND_INTERVAL = timedelta(milliseconds=250)  # the same once the first rounds are over
+STALLED_ROUNDS = 25  # after these, some five seconds, endpoints are called less often
+STALLED_ROUND_INTERVAL = timedelta(milliseconds=500)
 MAX_FOLLOW_UPS = 8  # calls in a row within a round, each in place of one that has failed
-MAX_ROUNDS = 25  # in all: some five seconds
+MAX_DURATION = timedelta(seconds=60)  # longer than a machine is cut off: endpoints free what is left by then
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,16 +32,32 @@
 
     Several are called as some may be silent, refuse connections, or be out of reach for a while."""
 
+    started_at: timedelta
     next_round_at: timedelta
     rounds: int = 0
     remaining: deque[Endpoint] = field(default_factory=deque)  # not yet called in this pass
     running: dict[int, ReleaseCall] = field(default_factory=dict)  # by call number
     follow_ups_left: int = MAX_FOLLOW_UPS  # in this round
 
+    @classmethod
+    def beginning(cls, now: timedelta) -> ReleaseCalls:
+        """Return a release whose first round is due now."""
+        return cls(now, now)
+
     @property
-    def is_exhausted(self) -> bool:
-        """Whether all rounds have been made."""
-        return self.rounds >= MAX_ROUNDS
+    def has_stalled(self) -> bool:
+        """Whether nobody has acknowledged the release for so long that the rounds become rare from now on."""
+        return self.rounds == STALLED_ROUNDS
+
+    def has_expired(self, now: timedelta) -> bool:
+        """Return whether nobody has acknowledged the release for so long that it is in vain."""
+        return now - self.started_at > MAX_DURATION
+
+    def restart(self, moment: timedelta) -> None:
+        """Begin anew with the first round, at a time: the calls before may have come too early to succeed."""
+        self.started_at = moment
+        self.next_round_at = min(self.next_round_at, moment)
+        self.rounds = 0
 
     def start_round(
         self, now: timedelta, order: Sequence[Endpoint], first_number: int
@@ -47,9 +65,8 @@
         """Start the calls of the next round and return them by number, counted up from `first_number`.
 
         `order` is the endpoints to call, used if all of the pass before were called."""
-        is_early = self.rounds < len(CALLS_PER_ROUND)
-        count = CALLS_PER_ROUND[self.rounds] if is_early else 1
-        self.next_round_at = now + (ROUND_INTERVAL if is_early else LATER_ROUND_INTERVAL)
+        count = CALLS_PER_ROUND[self.rounds] if self.rounds < len(CALLS_PER_ROUND) else 1
+        self.next_round_at = now + self._round_interval()
         self.rounds += 1
         self.follow_ups_left = MAX_FOLLOW_UPS
         if not self.remaining:
@@ -66,6 +83,12 @@
         self.follow_ups_left -= 1
         return self._start_calls(now, 1, number)
 
+    def _round_interval(self) -> timedelta:
+        """Return how long after the round that starts now the next one follows."""
+        if self.rounds < len(CALLS_PER_ROUND):
+            return ROUND_INTERVAL
+        return LATER_ROUND_INTERVAL if self.rounds < STALLED_ROUNDS else STALLED_ROUND_INTERVAL
+
     def _start_calls(self, now: timedelta, count: int, first_number: int) -> dict[int, ReleaseCall]:
         """Start calls to the endpoints that come next in this pass."""
         started: dict[int, ReleaseCall] = {}
--- a/llm_router/lifecycle/releases.py
+++ b/llm_router/lifecycle/releases.py
@@ -30,25 +30,27 @@
     """Start a release; attempts to claim the KV state that are still connecting are too late for it."""
     lease = request.lease
     if lease.state is LeaseState.AVAILABLE and request.has_running_decode:
-        lease.release_started_during_decode(ReleaseCalls(now))
+        lease.release_started_during_decode(ReleaseCalls.beginning(now))
         return
     if lease.state is LeaseState.AVAILABLE:
         yield from request.abort_all_attempts(AttemptStatus.CONNECT_FAILED)
-    lease.release_started(ReleaseCalls(now))
+    lease.release_started(ReleaseCalls.beginning(now))
 
 
 def _start_round(
     state: RouterState, now: timedelta, request: Request, calls: ReleaseCalls
 ) -> Iterator[effects.Effect]:
-    """Make the next round of calls, or give the release up after the last one."""
-    if not calls.is_exhausted:
-        order = release_order(state, request)
-        yield from _release_effects(request, calls.start_round(now, order, request.release_call_count))
+    """Make the next round of calls, or give the release up once it is in vain."""
+    fields: dict[str, object] = {"request": request.request_id, "rounds": calls.rounds}
+    if calls.has_expired(now) and not request.has_running_attempt:
+        yield effects.LogEvent("release_expired", fields, rate_limited=True)
+        request.lease.release_expired()
+        yield effects.CancelReleases(request.request_id)
         return
-    fields: dict[str, object] = {"request": request.request_id, "tries": calls.rounds}
-    yield effects.LogEvent("release_unacknowledged", fields, rate_limited=True)
-    request.lease.release_unacknowledged()
-    yield effects.CancelReleases(request.request_id)
+    if calls.has_stalled:
+        yield effects.LogEvent("release_unacknowledged", fields, rate_limited=True)
+    order = release_order(state, request)
+    yield from _release_effects(request, calls.start_round(now, order, request.release_call_count))
 
 
 def _release_effects(request: Request, calls: dict[int, ReleaseCall]) -> Iterator[effects.Effect]:
--- a/llm_router/transport/runtime.py
+++ b/llm_router/transport/runtime.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from datetime import timedelta
 from typing import Any
 
@@ -30,6 +31,7 @@
 from llm_router.transport.running_attempts import RunningAttempts
 
 IDLE_POLL_INTERVAL = timedelta(milliseconds=5)  # at shutdown, while releases are still to be made
+IDLE_TIMEOUT = timedelta(seconds=6)  # at shutdown: no endpoint may be left to acknowledge a release
 
 
 def no_report(_body: bytes) -> LoadReport:
@@ -105,7 +107,14 @@
             self._handlers[type(effect)](effect)
 
     async def wait_until_idle(self) -> None:
-        """Wait until no task is running, and all KV leases are released."""
+        """Wait until no task is running, and all KV leases are released, for a bounded time."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(to_seconds(IDLE_TIMEOUT)):
+                await self._wait_until_idle()
+        if not self.state.is_idle:
+            log.emit("leases_left", requests=len(self.state.requests))
+
+    async def _wait_until_idle(self) -> None:
         while self._tasks or not self.state.is_idle:
             if self._tasks:
                 await self._tasks.wait()
