Release a reservation in time though nothing shows that its prefill arrived

A reservation call that was never written counted as proof that the prefill had arrived, as it had the outcome of a 409.

Change: from 100 ms past the release time on, counted from when a reservation may be held or something was left behind, a release is made beside a prefill that no endpoint has shown to know of. NOT_MADE is an outcome of its own. The model of the property test has endpoints whose machine acknowledges what no process reads.

The harness of the reducer took any timer of the lifecycle for the deadline's; it asks for that one now.

--- a/llm_router/lifecycle/attempt_events.py
+++ b/llm_router/lifecycle/attempt_events.py
@@ -48,11 +48,13 @@
     denial = write_denial(state, now, request, event.attempt, request.deadline)
     attempt = request.attempts[event.attempt]
     attempt.change(AttemptChange.WRITTEN)
-    if attempt.is_running and not attempt.is_prefill:
+    if attempt.is_running and attempt.is_prefill:
+        request.lease.prefill_written(now)
+    elif attempt.is_running:
         request.lease.decode_written(event.attempt)
     if denial is not None:
         yield record_violation(state, Invariant.WRITE_ALLOWED, event.request_id, denial.value)
-    yield from schedule_release(request)
+    yield from schedule_release(now, request)
 
 
 def on_attempt_unacknowledged(
--- a/llm_router/lifecycle/events.py
+++ b/llm_router/lifecycle/events.py
@@ -78,7 +78,8 @@
     """How a reservation call ended; the value names it in the log."""
 
     RESERVED = "reserved"
-    REJECTED = "reservation_rejected"
+    REJECTED = "reservation_rejected"  # by an endpoint that knows of the prefill
+    NOT_MADE = "reservation_not_made"  # it was not written, or its endpoint did nothing
     UNKNOWN = "reservation_unknown"  # it was answered, and may have been made all the same
     UNANSWERED = "reservation_unanswered"  # it may still be on its way
 
--- a/llm_router/lifecycle/kv_lease.py
+++ b/llm_router/lifecycle/kv_lease.py
@@ -19,6 +19,7 @@
 MIN_CLAIM_TIME = 100 * MILLISECOND  # for a decode attempt to claim a KV state
 MIN_RELEASE_INTERVAL = 100 * MILLISECOND  # between two releases of what may still come to be held
 DEFAULT_RELEASE_INTERVAL = 500 * MILLISECOND  # the same where the settings name no release time
+UNCONFIRMED_PREFILL_TIME = 100 * MILLISECOND  # for a prefill to show that it arrived, past the release time
 MIN_CONNECT_TIME = 100 * MILLISECOND  # a connection over a busy link still comes up within this
 CLOSE_SETTLE_TIME = 15 * MILLISECOND  # a release waits so long after an abort: most closes arrive before it
 MAX_CLOSE_DELAY = 200 * MILLISECOND  # a close may take this long to its endpoint
@@ -91,6 +92,7 @@
     release_timeout: timedelta | None  # the release time of the settings, None for no limit
     state: LeaseState = LeaseState.EMPTY
     release_at: timedelta | None = None  # when the next release is due, unless an attempt is running
+    overdue_at: timedelta | None = None  # from then on a prefill of which nothing shows delays no release
     may_arrive_until: timedelta = timedelta()  # a release that started before this may miss something
     released_before: timedelta = timedelta()  # all that was held before this has gone
     orphaned_at: timedelta = timedelta()  # when something was last left that no attempt will claim
@@ -109,6 +111,15 @@
         """Whether something may be held of which no endpoint has acknowledged a release yet."""
         return self.state is LeaseState.ORPHANED and self.released_before <= self.orphaned_at
 
+    @property
+    def next_release_at(self) -> timedelta | None:
+        """When the next release, or the next round of calls of one, is due; None where none is."""
+        return self.release_at if self.release_calls is None else self.release_calls.next_round_at
+
+    def is_overdue(self, now: timedelta) -> bool:
+        """Return whether what may be held must go, unless a running prefill is known to have arrived."""
+        return self.overdue_at is not None and now >= self.overdue_at
+
     def connect_timeout(self, now: timedelta) -> timedelta | None:
         """Return how long a decode attempt may wait for its connection, None for no limit by the lease.
 
@@ -119,11 +130,17 @@
         remaining = max(self.release_at - now, MILLISECOND)
         return min(remaining, max(remaining / 2, MIN_CONNECT_TIME))
 
+    def prefill_written(self, now: timedelta) -> None:
+        """Record that a prefill may have reached its endpoint: reservations for it are made from now on."""
+        if self.pending_reservations:
+            self._may_hold_from(now)
+
     def prefill_ended(self, now: timedelta, status: AttemptStatus) -> None:
         """Record the end of a prefill attempt that was written."""
         if status is AttemptStatus.PREFILLED:
             self._change(LeaseChange.PREFILLED)
             self.release_calls = None
+            self.overdue_at = None
             self.may_arrive_until = max(self.may_arrive_until, now)
             self.release_at = self._claim_deadline(now)
         elif status in LATE_PREFILL_WINDOWS:
@@ -156,15 +173,19 @@
         else:
             self._leave_behind(now + CLOSE_SETTLE_TIME, closed_by)
 
-    def reservation_sent(self) -> None:
-        """Record that a reservation call has started."""
+    def reservation_sent(self, now: timedelta, *, prefill_written: bool) -> None:
+        """Record that a reservation call has started; it is made once its prefill is written."""
         self.pending_reservations += 1
+        if prefill_written:
+            self._may_hold_from(now)
 
     def reservation_ended(self, now: timedelta, outcome: ReservationOutcome) -> None:
         """Record the end of a reservation call; what it may have left is released at the next occasion."""
         self.pending_reservations -= 1
-        if outcome is ReservationOutcome.REJECTED:
+        if outcome in (ReservationOutcome.REJECTED, ReservationOutcome.NOT_MADE):
             self._finish_if_released()
+            if self.is_finished:
+                self.release_at = self.overdue_at = None
         else:
             unanswered = outcome is ReservationOutcome.UNANSWERED
             self._leave_behind(now, now + (MAX_RESERVATION_DELAY if unanswered else timedelta()))
@@ -180,6 +201,7 @@
             return
         self._change(LeaseChange.ABANDONED)
         self.orphaned_at = now
+        self._overdue_from(now)
         self._release_by(now + CLOSE_SETTLE_TIME if now < self.may_arrive_until else now)
 
     def response_started(self, now: timedelta) -> None:
@@ -217,7 +239,7 @@
         """Give up: no endpoint has acknowledged a release for long; they free by themselves what is left."""
         self._change(LeaseChange.EXPIRED)
         self.release_calls = None
-        self.release_at = None
+        self.release_at = self.overdue_at = None
 
     def _change(self, change: LeaseChange) -> None:
         """Enter the state that follows a change."""
@@ -233,10 +255,24 @@
         """Record that something may be held, or come to be held until a time, that no attempt will claim."""
         self.may_arrive_until = max(self.may_arrive_until, may_arrive_until)
         self.orphaned_at = max(self.orphaned_at, release_at)
+        self._overdue_from(release_at)
         if self.state is not LeaseState.AVAILABLE:
             self._change(LeaseChange.LEFT_BEHIND)
             self._release_by(release_at)
 
+    def _may_hold_from(self, now: timedelta) -> None:
+        """Record that a reservation may be held from now on, whether or not its answer ever comes."""
+        self._overdue_from(now)
+        if self.overdue_at is not None:
+            self._release_by(self.overdue_at)
+
+    def _overdue_from(self, left_at: timedelta) -> None:
+        """Bring forward from when on a release must be made of what may be held since a time."""
+        if self.release_timeout is None:
+            return
+        overdue_at = left_at + self.release_timeout + UNCONFIRMED_PREFILL_TIME
+        self.overdue_at = overdue_at if self.overdue_at is None else min(self.overdue_at, overdue_at)
+
     def _release_by(self, moment: timedelta) -> None:
         """Bring the next release forward to a time, unless it is due earlier.
 
@@ -257,7 +293,9 @@
         """Plan the release after one that started at a moment, for what may still come to be held.
 
         None is due for what a decode attempt waits for, before its end."""
+        self.overdue_at = None
         if self._more_may_arrive:
+            self._overdue_from(moment)
             interval = DEFAULT_RELEASE_INTERVAL if self.release_timeout is None else self.release_timeout
             self._release_by(moment + max(interval - RELEASE_MARGIN, MIN_RELEASE_INTERVAL))
         else:
@@ -277,4 +315,4 @@
             return
         if not self._more_may_arrive:
             self._change(LeaseChange.FULLY_RELEASED)
-            self.release_at = None
+            self.release_at = self.overdue_at = None
--- a/llm_router/lifecycle/policy_actions.py
+++ b/llm_router/lifecycle/policy_actions.py
@@ -107,9 +107,7 @@
         yield from request.abort_attempt(action.attempt, AttemptStatus.CANCELLED)
 
 
-def _reserve(
-    state: RouterState, _now: timedelta, action: routing_actions.Reserve
-) -> Iterator[effects.Effect]:
+def _reserve(state: RouterState, now: timedelta, action: routing_actions.Reserve) -> Iterator[effects.Effect]:
     """Make a reservation for the latest attempt while it runs."""
     request = state.requests.get(action.request_id)
     endpoint = state.endpoints.get(action.endpoint_id)
@@ -117,7 +115,7 @@
         return
     if not request.attempts or not request.attempts[-1].is_running:
         return
-    request.lease.reservation_sent()
+    request.lease.reservation_sent(now, prefill_written=request.attempts[-1].was_written)
     request.reservation_endpoint_id = action.endpoint_id
     yield effects.Reserve(action.request_id, len(request.attempts) - 1, endpoint)
 
--- a/llm_router/lifecycle/releases.py
+++ b/llm_router/lifecycle/releases.py
@@ -17,13 +17,14 @@
 def advance_release(state: RouterState, now: timedelta, request: Request) -> Iterator[effects.Effect]:
     """Start a release that is due, or the next round of calls of one, if releases may be made."""
     if not request.may_release(now):
+        yield from schedule_release(now, request)
         return
     lease = request.lease
     if lease.release_calls is None and lease.release_at is not None and now >= lease.release_at:
         yield from _start_release(now, request)
     if lease.release_calls is not None and now >= lease.release_calls.next_round_at:
         yield from _start_round(state, now, request, lease.release_calls)
-    yield from schedule_release(request)
+    yield from schedule_release(now, request)
 
 
 def _start_release(now: timedelta, request: Request) -> Iterator[effects.Effect]:
@@ -66,10 +67,14 @@
         yield effects.CancelReleases(request.request_id)
 
 
-def schedule_release(request: Request) -> Iterator[effects.Effect]:
-    """Set a timer for the next release or round of calls, unless one is set that fires no later."""
-    lease = request.lease
-    fires_at = lease.release_at if lease.release_calls is None else lease.release_calls.next_round_at
+def schedule_release(now: timedelta, request: Request) -> Iterator[effects.Effect]:
+    """Set a timer for the next release or round of calls, unless one is set that fires no later.
+
+    One that a running prefill holds back is made once it is overdue."""
+    fires_at = request.lease.next_release_at
+    if fires_at is not None and not request.may_release(now):
+        overdue_at = request.lease.overdue_at
+        fires_at = overdue_at if overdue_at is not None and overdue_at > now else None
     if fires_at is None:
         return
     if request.release_timer_at is None or fires_at < request.release_timer_at:
--- a/llm_router/lifecycle/request.py
+++ b/llm_router/lifecycle/request.py
@@ -85,15 +85,16 @@
         return any(attempt.is_running for attempt in self.attempts)
 
     @property
-    def has_running_prefill(self) -> bool:
-        """Whether a written prefill runs that its endpoint may have received: its KV state is its own."""
-        return any(
-            attempt.is_prefill
+    def running_prefills(self) -> list[Attempt]:
+        """The written prefills that run and may have reached their endpoints: their KV state is theirs."""
+        return [
+            attempt
+            for attempt in self.attempts
+            if attempt.is_prefill
             and attempt.is_running
             and attempt.was_written
             and attempt.arrival is not Arrival.MISSING
-            for attempt in self.attempts
-        )
+        ]
 
     @property
     def has_running_decode(self) -> bool:
@@ -111,9 +112,14 @@
         """Return whether release calls may be made now.
 
         A release would take the KV state of a running prefill, so none is made meanwhile, except where an
-        earlier prefill whose connection broke may run on. A decode attempt that waits for a KV state keeps
-        it."""
-        return not self.has_running_prefill or now < self.lease.prefill_may_run_until
+        earlier prefill whose connection broke may run on, or where the release time of something that may be
+        held is over and nothing shows that the prefill arrived. A decode attempt that waits for a KV state
+        keeps it."""
+        prefills = self.running_prefills
+        if not prefills or now < self.lease.prefill_may_run_until:
+            return True
+        has_arrived = any(prefill.arrival is Arrival.ARRIVED for prefill in prefills)
+        return self.lease.is_overdue(now) and not has_arrived
 
     def change(self, change: RequestChange) -> None:
         """Enter the state that follows a change."""
--- a/llm_router/lifecycle/reservation_events.py
+++ b/llm_router/lifecycle/reservation_events.py
@@ -22,7 +22,10 @@
 RESERVATION_MADE = {  # whether a reservation was made, where that is certain: only then the policy learns it
     ReservationOutcome.RESERVED: True,
     ReservationOutcome.REJECTED: False,
+    ReservationOutcome.NOT_MADE: False,
 }
+# Only an endpoint that knows of the prefill answers so: a call that was never written proves nothing.
+PREFILL_KNOWN = frozenset({ReservationOutcome.RESERVED, ReservationOutcome.REJECTED})
 
 
 def on_reservation_ended(
@@ -35,7 +38,7 @@
     request.lease.reservation_ended(now, event.outcome)
     state.metrics.add(event.outcome.value)
     attempt = request.attempts[event.attempt]
-    if event.outcome in RESERVATION_MADE:
+    if event.outcome in PREFILL_KNOWN:
         attempt.arrival = Arrival.ARRIVED
     elif event.outcome is ReservationOutcome.UNKNOWN:
         yield from _check_arrival(state, now, request, event.attempt)
@@ -66,7 +69,7 @@
     if endpoint is None or reservation_denial(state, request, index, endpoint.name) is not None:
         return
     attempt.arrival = Arrival.DOUBTED
-    request.lease.reservation_sent()
+    request.lease.reservation_sent(now, prefill_written=attempt.was_written)
     yield effects.Reserve(request.request_id, index, endpoint)
 
 
--- a/llm_router/transport/reservation_client.py
+++ b/llm_router/transport/reservation_client.py
@@ -18,7 +18,7 @@
 RESERVATION_OUTCOMES = {  # by the response's status; after any other one a reservation may exist
     200: ReservationOutcome.RESERVED,
     409: ReservationOutcome.REJECTED,
-    404: ReservationOutcome.REJECTED,
+    404: ReservationOutcome.NOT_MADE,
     None: ReservationOutcome.UNANSWERED,
 }
 
@@ -40,7 +40,7 @@
 
     async def run(self, effect: effects.Reserve, prefill: RunningAttempt | None) -> None:
         """Reserve once the prefill is being written: before that no endpoint would know of it."""
-        outcome = ReservationOutcome.REJECTED
+        outcome = ReservationOutcome.NOT_MADE
         try:
             path = self._path(effect.request_id)
             if prefill is not None and path is not None:
@@ -70,7 +70,7 @@
         try:
             await asyncio.wait({task, prefill}, return_when=asyncio.FIRST_COMPLETED)
             if not written.is_set():
-                return ReservationOutcome.REJECTED
+                return ReservationOutcome.NOT_MADE
             return RESERVATION_OUTCOMES.get(await task, ReservationOutcome.UNKNOWN)
         finally:
             task.cancel()
--- a/tests/lifecycle/test_kv_lease_property.py
+++ b/tests/lifecycle/test_kv_lease_property.py
@@ -27,6 +27,7 @@
     run_on=st.sampled_from([0, 10, 400, 2000]),
     hangs=st.sampled_from([False, False, False, True]),
     loses_writes=st.sampled_from([False, False, False, True]),
+    reads_nothing=st.sampled_from([False, False, False, True]),
 )
 decode_endpoints = st.builds(
     EndpointBehaviour,
--- a/tests/support/kv_lease_model.py
+++ b/tests/support/kv_lease_model.py
@@ -47,6 +47,7 @@
     run_on: int = 0  # after a reset the prefill runs on for so long, and ends well
     hangs: bool = False  # it takes what comes, and never answers an attempt
     loses_writes: bool = False  # what is written to it never arrives
+    reads_nothing: bool = False  # its machine acknowledges what is written, and no process reads it
     grants_reservations: bool = True
     answers_reservations: bool = True
 
@@ -150,6 +151,9 @@
             attempt.ended = True  # at the endpoint it never began
             self.after(ACKNOWLEDGEMENT_TIMEOUT, lambda: self.feed(events.AttemptUnacknowledged(*key)))
             return
+        if behaviour.reads_nothing:
+            attempt.ended = True
+            return
         arrive = self.start_prefill if effect.is_prefill else self.start_decode
         self.after(behaviour.delay, lambda: arrive(key, attempt, behaviour))
 
@@ -173,7 +177,7 @@
     def on_reserve(self, effect: effects.Reserve) -> None:
         key, behaviour = (effect.request_id, effect.attempt), self.behaviours[effect.endpoint.name]
         if not behaviour.connects:
-            self.after(0, lambda: self.end_reservation(key, ReservationOutcome.REJECTED))
+            self.after(0, lambda: self.end_reservation(key, ReservationOutcome.NOT_MADE))
             return
         self.after(RESERVATION_DELAY, lambda: self.write_reservation(key, effect.endpoint.name, behaviour))
 
@@ -182,7 +186,7 @@
 
     def write_reservation(self, key: AttemptKey, name: str, behaviour: EndpointBehaviour) -> None:
         if key not in self.running:  # it is not written once the prefill has ended
-            self.end_reservation(key, ReservationOutcome.REJECTED)
+            self.end_reservation(key, ReservationOutcome.NOT_MADE)
             return
         if self.running[key] is None:  # nor before the prefill is
             self.after(RESERVATION_DELAY, lambda: self.write_reservation(key, name, behaviour))
--- a/tests/support/reducer_harness.py
+++ b/tests/support/reducer_harness.py
@@ -114,9 +114,11 @@
         self.state.policy.handle = lambda *_: []
 
     def deadline_timer(self):
-        """Return the lifecycle's own timer of the request just submitted; the policy's are numbers."""
+        """Return the lifecycle's timer of the deadline of the request just submitted."""
         (scheduled,) = (
-            each for each in self.effects_of(effects.ScheduleTimer) if not isinstance(each.timer, int)
+            each
+            for each in self.effects_of(effects.ScheduleTimer)
+            if isinstance(each.timer, events.RequestDeadline)
         )
         return scheduled
 
--- a/tests/transport/test_reservation_client.py
+++ b/tests/transport/test_reservation_client.py
@@ -47,7 +47,7 @@
         await asyncio.sleep(0)
         prefill.task.set_result(None)
         await within(reserving)
-        assert fed == [events.ReservationEnded("q", 0, ReservationOutcome.REJECTED)]
+        assert fed == [events.ReservationEnded("q", 0, ReservationOutcome.NOT_MADE)]
         pool.up.set()
         await asyncio.sleep(0)
         assert (pool.calls, pool.written) == (1, 0)
@@ -79,7 +79,7 @@
             reserve = effects.Reserve("q", 0, ready)
             assert check_reserve(runtime.state, reserve) is Denial.ENDPOINT_NOT_READY
             await client.run(reserve, written_prefill())
-            assert [each.outcome for each in fed] == [ReservationOutcome.REJECTED]
+            assert [each.outcome for each in fed] == [ReservationOutcome.NOT_MADE]
             assert not deployment.decode.calls
 
     asyncio.run(test())
