Show by a test that KV state waits for the end of the prefill's answer

Cause: SHORT_BODY_TIMEOUT of the attempt executor, a second, runs after the head of a 202, and with it the KV state's release time.

--- a/tests/emulator/test_release_without_answers.py
+++ b/tests/emulator/test_release_without_answers.py
@@ -82,3 +82,19 @@
             writer.close()
 
     run(test())
+
+
+@pytest.mark.parametrize("release_timeout", RELEASE_TIMEOUTS)
+def test_kv_state_is_claimed_in_time_though_the_prefills_answer_never_ends(tmp_path, release_timeout):
+    """The head of a 202 tells that the KV state is there, but the decode attempt waited a second for its end:
+    "202 with a cut body and an open connection: the decode attempt is sent 1.00 s later"."""
+
+    async def test():
+        settings = customer(release_timeout, reservations=False)
+        async with gated_deployment(tmp_path, settings, ONE_OF_EACH) as deployment:
+            deployment["r1"].cuts_prefill_answers = True
+            status_line, _, _ = await deployment.router.exchange(chat_request("r1", facts=FACTS))
+            assert status_line.split()[1] == "200"
+            assert await deployment.record.final_violations() == []
+
+    run(test())
