Wait 100 ms for the body of a prefill's answer, not a second

Cause: the release time of the KV state runs from the head of a 202 on, while the attempt waited a second for a body that an endpoint may never end. The same holds for other answers that are not relayed: what a rejected attempt had waited for, or a reservation of a prefill that failed, stays held meanwhile.

Change: SHORT_BODY_TIMEOUT is 100 ms. A body that takes longer costs the count of cached tokens and its connection.

--- a/llm_router/transport/attempt_executor.py
+++ b/llm_router/transport/attempt_executor.py
@@ -28,7 +28,9 @@
 from llm_router.transport.response_relay import ResponseRelay, log_malformed_response
 
 MAX_SHORT_BODY_SIZE = 64 * 1024  # bytes read of a response that is not relayed
-SHORT_BODY_TIMEOUT = timedelta(seconds=1)
+# For the rest of a response that is not relayed. Its head tells what the endpoint holds or has given up: the
+# release time runs meanwhile.
+SHORT_BODY_TIMEOUT = timedelta(milliseconds=100)
 SILENCE_THRESHOLD = timedelta(
     milliseconds=500
 )  # an attempt aborted after this casts doubt on idle connections
