Queue both lines of a log test before the first is written

Cause: test_undeliverable_lines_are_counted_and_reported_to_the_next_consumer[EPIPE] failed once in a whole run beside other work. Its second error was meant for the second line.

Change: the test holds the queue's lock while it queues both. What it asserts is unchanged.

--- a/tests/test_log_queue.py
+++ b/tests/test_log_queue.py
@@ -63,8 +63,9 @@
 def test_undeliverable_lines_are_counted_and_reported_to_the_next_consumer(output, error):
     queue, written, answers = output
     answers += [error, error]
-    queue.put(b"first\n")
-    queue.put(b"second\n")
+    with queue._changed:  # both wait before the first is written
+        queue.put(b"first\n")
+        queue.put(b"second\n")
     assert queue.flush(FLUSH_TIMEOUT)
     queue.put(b"third\n")
     assert queue.flush(FLUSH_TIMEOUT) and written == b"dropped 2\nthird\n"
