Show by a test that a close on its way outlives the releases after a decode attempt

Cause: MAX_CLOSE_DELAY, 0.2 s, bounds how long the close of a given-up attempt takes to its endpoint; a cut lasts longer.

--- a/tests/emulator/test_release_without_answers.py
+++ b/tests/emulator/test_release_without_answers.py
@@ -10,6 +10,8 @@
 RELEASE_TIMEOUTS = [60 * MS, 400 * MS]
 ONE_OF_EACH = {"r1": "prefill", "w1": "decode"}
 LONGER_THAN_ANY_BUDGET = 6.0  # seconds: a release used to be given up after some 5.4
+SILENCE = 0.7  # seconds after which an attempt that is given up may be at an endpoint that is cut off
+CUT = 1.5  # seconds for which that endpoint is cut off then
 DECODES_FOREVER = 9000  # milliseconds that a client waits whose class must not be repeated
 
 
@@ -98,3 +100,25 @@
             assert await deployment.record.final_violations() == []
 
     run(test())
+
+
+@pytest.mark.parametrize("release_timeout", RELEASE_TIMEOUTS)
+def test_state_is_released_though_the_close_of_its_attempt_arrives_seconds_later(tmp_path, release_timeout):
+    """An endpoint that is cut off learns late that its attempt was given up. Until then a release passes by
+    what that attempt waits for; releases ended 0.2 s after the attempt."""
+
+    async def test():
+        settings = customer(release_timeout, reservations=False)
+        async with gated_deployment(tmp_path, settings, ONE_OF_EACH) as deployment:
+            deployment["w1"].finish.clear()
+            _, writer = await deployment.router.connect()
+            writer.write(chat_request("r1", facts=FACTS))
+            await deployment.record.wait_until(lambda: deployment.record.of("r1").decodes)
+            deployment["w1"].inbound.clear()
+            await asyncio.sleep(SILENCE)
+            writer.close()
+            await asyncio.sleep(CUT)
+            deployment["w1"].inbound.set()
+            assert await deployment.record.final_violations() == []
+
+    run(test())
