Release for three seconds after a decode attempt that ended in silence

Cause: as the test shows, an endpoint that is cut off learns of the close only after the cut, and what its attempt waits for is passed by until then.

Change: where an attempt is given up after 0.5 s or more in which its endpoint answered nothing, releases go on for 3 s, as after an unanswered reservation.

--- a/llm_router/lifecycle/attempt_events.py
+++ b/llm_router/lifecycle/attempt_events.py
@@ -27,6 +27,8 @@
     AttemptStatus.RESET: False,
     AttemptStatus.TIMEOUT: False,
 }
+ABORTED = frozenset({AttemptStatus.CANCELLED, AttemptStatus.TIMEOUT})
+MIN_SILENCE = timedelta(milliseconds=500)  # of an attempt, which casts doubt on the way to its endpoint
 ONLY_WRITTEN = frozenset(  # only an attempt that was written ends so
     {
         AttemptStatus.OK,
@@ -121,13 +123,22 @@
         if attempt.is_prefill:
             request.lease.prefill_ended(now, status)
         elif not had_response:
-            request.lease.decode_ended(event.attempt, now, status)
+            after_silence = status in ABORTED and _was_silent(state, now, attempt)
+            request.lease.decode_ended(event.attempt, now, status, after_silence=after_silence)
         yield from cancel_release_calls(request)
     _record_contact(state, now, attempt, status, event.connection_fault)
     yield from consult_policy(state, now, _policy_event(event, now, request, attempt, status))
     yield from complete_request(state, now, event.request_id)
 
 
+def _was_silent(state: RouterState, now: timedelta, attempt: Attempt) -> bool:
+    """Return whether an attempt has waited for long, and its endpoint has answered nothing else meanwhile."""
+    if now - attempt.opened_at < MIN_SILENCE:
+        return False
+    contact = state.endpoint_table.last_contacts.get(attempt.endpoint_id)
+    return contact is None or not contact.answered or contact.at < attempt.opened_at
+
+
 def _record_metrics(
     state: RouterState, now: timedelta, attempt: Attempt, status: AttemptStatus
 ) -> Iterator[effects.Effect]:
--- a/llm_router/lifecycle/kv_lease.py
+++ b/llm_router/lifecycle/kv_lease.py
@@ -23,6 +23,7 @@
 MIN_CONNECT_TIME = 100 * MILLISECOND  # a connection over a busy link still comes up within this
 CLOSE_SETTLE_TIME = 15 * MILLISECOND  # a release waits so long after an abort: most closes arrive before it
 MAX_CLOSE_DELAY = 200 * MILLISECOND  # a close may take this long to its endpoint
+MAX_CLOSE_DELAY_AFTER_SILENCE = timedelta(seconds=3)  # the same to one that seems cut off
 MAX_RESERVATION_DELAY = timedelta(seconds=3)  # an unanswered reservation may arrive so late, after a cut
 MAX_PREFILL_RUN_ON = timedelta(seconds=3)  # a prefill whose connection broke may run on for so long
 
@@ -154,18 +155,22 @@
         """Record that a decode attempt may have reached its endpoint, and may wait for the KV state there."""
         self.claims.add(attempt)
 
-    def decode_ended(self, attempt: int, now: timedelta, status: AttemptStatus) -> None:
+    def decode_ended(
+        self, attempt: int, now: timedelta, status: AttemptStatus, *, after_silence: bool = False
+    ) -> None:
         """Record the end of a written decode attempt that has not claimed the KV state.
 
         The KV state waits for another attempt, or it must be released now. The endpoint may learn later that
-        the attempt was aborted, and till then a release passes the KV state by."""
+        the attempt was aborted, and till then a release passes the KV state by. `after_silence`: it was
+        aborted, and nothing has come from the endpoint since the attempt began: it may be cut off."""
         self.claims.discard(attempt)
         if status in NEVER_ARRIVED:
             self._finish_if_released()  # it waited for nothing
             return
         if self.is_finished:
             return
-        closed_by = now + MAX_CLOSE_DELAY if status in LATE_PREFILL_WINDOWS else now
+        close_delay = MAX_CLOSE_DELAY_AFTER_SILENCE if after_silence else MAX_CLOSE_DELAY
+        closed_by = now + close_delay if status in LATE_PREFILL_WINDOWS else now
         if self.state is LeaseState.AVAILABLE:
             self.release_calls = None  # it would take the KV state from the next attempt
             self.release_at = self._claim_deadline(now)
