Check at run time that what may be held has a release due, and keep each lease's history

Cause: the faults of the incident had one sign in common that nothing looked for: a lease that is not empty, no attempt known to have reached its endpoint, and no release due. The logs told neither calls nor answers of releases by request.

Change: complete_request, with which every handler ends, checks the invariant; a violation is counted and logged once a request with the lease's history, the last 32 things that happened to it. release_unacknowledged and release_expired are logged with it, too. The property test asserts that no invariant is violated, and a second one draws endpoints to which all arrives and that answer nothing, long deadlines and mixed endpoints.

--- a/llm_router/lifecycle/attempt.py
+++ b/llm_router/lifecycle/attempt.py
@@ -88,6 +88,11 @@
     abort_status: AttemptStatus | None = None  # how it counts once its aborted connection is closed
     status: AttemptStatus | None = None  # how it ended
 
+    @property
+    def endpoint_name(self) -> str:
+        """The name of its endpoint, empty if that was no longer listed."""
+        return "" if self.endpoint is None else self.endpoint.name
+
     @property
     def is_running(self) -> bool:
         """Whether it has not ended."""
--- a/llm_router/lifecycle/attempt_events.py
+++ b/llm_router/lifecycle/attempt_events.py
@@ -50,6 +50,7 @@
     denial = write_denial(state, now, request, event.attempt, request.deadline)
     attempt = request.attempts[event.attempt]
     attempt.change(AttemptChange.WRITTEN)
+    request.history.record(now, "written", attempt.endpoint_name)
     if attempt.is_running and attempt.is_prefill:
         request.lease.prefill_written(now)
     elif attempt.is_running:
@@ -76,6 +77,7 @@
     if not attempt.is_running or attempt.is_responding or attempt.arrival.is_settled:
         return
     attempt.arrival = Arrival.MISSING
+    request.history.record(now, "missing", attempt.endpoint_name)
     state.endpoint_table.record_contact(attempt.endpoint_id, now, answered=False)
     state.metrics.add("attempt_missing")
     if attempt.is_prefill:
@@ -116,6 +118,7 @@
     had_response = attempt.is_responding
     status = attempt.final_status(event.status)
     attempt.end(status)
+    request.history.record(now, status.value, attempt.endpoint_name)
     yield from _record_metrics(state, now, attempt, status)
     if had_response or status is AttemptStatus.OK:
         request.change(RequestChange.CLOSED)
--- a/llm_router/lifecycle/final_answers.py
+++ b/llm_router/lifecycle/final_answers.py
@@ -57,7 +57,7 @@
 ) -> Iterator[effects.Effect]:
     """Log and count the reason of an answer, with the attempts before it."""
     state.metrics.add(f"ended_{reason.value}")
-    attempts = [f"{each.endpoint.name if each.endpoint else ''} {each.outcome}" for each in request.attempts]
+    attempts = [f"{each.endpoint_name} {each.outcome}" for each in request.attempts]
     fields: dict[str, object] = {"request": request.request_id, "reason": reason.value, "attempts": attempts}
     yield effects.LogEvent(log_event, fields, rate_limited=True)
     if now > request.deadline + MAX_ANSWER_DELAY:
--- a/llm_router/lifecycle/releases.py
+++ b/llm_router/lifecycle/releases.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 from llm_router.lifecycle import effects, events
+from llm_router.lifecycle.invariants import lease_history
 from llm_router.lifecycle.kv_lease import LeaseState
 from llm_router.lifecycle.release_calls import ReleaseCall, ReleaseCalls
 from llm_router.lifecycle.release_order import release_order
@@ -45,19 +46,24 @@
     fields: dict[str, object] = {"request": request.request_id, "rounds": calls.rounds}
     if calls.has_expired(now) and not request.has_running_attempt:
         yield effects.LogEvent("release_expired", fields, rate_limited=True)
+        yield lease_history(request)
         request.lease.release_expired()
         yield effects.CancelReleases(request.request_id)
         return
     if calls.has_stalled:
         yield effects.LogEvent("release_unacknowledged", fields, rate_limited=True)
+        yield lease_history(request)
     order = release_order(state, request)
-    yield from _release_effects(request, calls.start_round(now, order, request.release_call_count))
+    yield from _release_effects(now, request, calls.start_round(now, order, request.release_call_count))
 
 
-def _release_effects(request: Request, calls: dict[int, ReleaseCall]) -> Iterator[effects.Effect]:
+def _release_effects(
+    now: timedelta, request: Request, calls: dict[int, ReleaseCall]
+) -> Iterator[effects.Effect]:
     """Yield the effects that make release calls."""
     request.release_call_count += len(calls)
     for number, call in calls.items():
+        request.history.record(now, "release", call.endpoint.name)
         yield effects.Release(request.request_id, request.accepted_at, number, call.endpoint)
 
 
@@ -93,8 +99,11 @@
     number = state.numbers.get(call.endpoint.name)
     if number is not None and number in state.endpoints:
         state.endpoint_table.record_contact(number, now, answered=event.acknowledged)
+    request.history.record(
+        now, "acknowledged" if event.acknowledged else "not acknowledged", call.endpoint.name
+    )
     if event.acknowledged:
         request.lease.release_acknowledged(call.started_at)
         yield from cancel_release_calls(request)
     elif request.may_release(now):
-        yield from _release_effects(request, calls.follow_up(now, request.release_call_count))
+        yield from _release_effects(now, request, calls.follow_up(now, request.release_call_count))
--- a/llm_router/lifecycle/request.py
+++ b/llm_router/lifecycle/request.py
@@ -8,7 +8,8 @@
 
 from llm_router.lifecycle import effects, events
 from llm_router.lifecycle.attempt import Arrival, Attempt
-from llm_router.lifecycle.kv_lease import KvLease
+from llm_router.lifecycle.kv_lease import KvLease, LeaseState
+from llm_router.lifecycle.lease_history import LeaseHistory
 from llm_router.routing.events import AttemptStatus
 
 
@@ -53,6 +54,9 @@
     reservation_endpoint_id: int | None = None  # the decode endpoint of the latest reservation call
     release_call_count: int = 0  # release calls made so far, which numbers the next one
     release_timer_at: timedelta | None = None  # when the ReleaseTimer timer fires that is set
+    history: LeaseHistory = field(default_factory=LeaseHistory)
+    recorded_lease_state: LeaseState = LeaseState.EMPTY  # the last one in the history
+    is_release_missing: bool = False  # a violation of Invariant.RELEASE_PLANNED was recorded
 
     @property
     def request_id(self) -> str:
@@ -121,6 +125,12 @@
         has_arrived = any(prefill.arrival is Arrival.ARRIVED for prefill in prefills)
         return self.lease.is_overdue(now) and not has_arrived
 
+    def record_lease_state(self, now: timedelta) -> None:
+        """Add the lease's state to the history where it has changed."""
+        if self.lease.state is not self.recorded_lease_state:
+            self.recorded_lease_state = self.lease.state
+            self.history.record(now, f"lease {self.lease.state.name.lower()}")
+
     def change(self, change: RequestChange) -> None:
         """Enter the state that follows a change."""
         self.state = REQUEST_TRANSITIONS[change].get(self.state, self.state)
--- a/llm_router/lifecycle/request_completion.py
+++ b/llm_router/lifecycle/request_completion.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 from llm_router.lifecycle import effects
+from llm_router.lifecycle.invariants import check_release_planned
 from llm_router.lifecycle.kv_lease import LeaseState
 from llm_router.lifecycle.releases import advance_release
 from llm_router.lifecycle.state import RouterState
@@ -21,6 +22,8 @@
     if request.only_lease_remains and request.lease.state is LeaseState.AVAILABLE:
         request.lease.abandon(now)
     yield from advance_release(state, now, request)
+    request.record_lease_state(now)
+    yield from check_release_planned(state, now, request)
     if not request.only_lease_remains:
         return
     idempotency_key = request.received.idempotency_key
--- a/llm_router/lifecycle/reservation_events.py
+++ b/llm_router/lifecycle/reservation_events.py
@@ -36,6 +36,7 @@
     if request is None:
         return
     request.lease.reservation_ended(now, event.outcome)
+    request.history.record(now, event.outcome.value)
     state.metrics.add(event.outcome.value)
     attempt = request.attempts[event.attempt]
     if event.outcome in PREFILL_KNOWN:
--- a/tests/lifecycle/test_kv_lease_property.py
+++ b/tests/lifecycle/test_kv_lease_property.py
@@ -39,23 +39,46 @@
     grants_reservations=st.booleans(),
     answers_reservations=st.booleans(),
 )
+silent_prefill_endpoints = st.builds(
+    EndpointBehaviour,
+    delay=delays,
+    duration=durations,
+    hangs=st.booleans(),
+    reads_nothing=st.booleans(),
+    answers_releases=st.booleans(),
+)
+silent_mixed_endpoints = st.builds(
+    EndpointBehaviour,
+    delay=delays,
+    duration=durations,
+    hangs=st.booleans(),
+    answers_reservations=st.booleans(),
+    answers_releases=st.booleans(),
+    prefills_itself=st.just(True),
+)
 release_timeouts = st.sampled_from([None, 0, 50, 120, 300, 700, 2000])
 deadlines = st.sampled_from([40, 300, 1000, 4000])
+long_deadlines = st.sampled_from([1000, 4000, 9000])  # past the releases after a first attempt
 
 
 @st.composite
-def router_settings(draw):
+def router_settings(draw, *, append_prefill=False):
     """Draw the settings of some operator."""
-    release_timeout, deadline = draw(release_timeouts), draw(deadlines)
+    release_timeout, deadline = draw(release_timeouts), draw(long_deadlines if append_prefill else deadlines)
     class_settings = ClassSettings(
         "c",
-        deadline * MILLISECOND // 2,
+        deadline * MILLISECOND // (10 if append_prefill else 2),
         deadline * MILLISECOND,
         draw(st.sampled_from(Idempotency)),
         deduplication_window=200 * MILLISECOND,
     )
     return Settings(
-        kinds=(KindSettings("prefill", Role.PREFILL), KindSettings("decode", Role.DECODE)),
+        kinds=(
+            KindSettings("prefill", Role.PREFILL),
+            KindSettings("decode", Role.DECODE),
+            KindSettings("mixed", Role.MIXED),
+        ),
+        append_prefill=append_prefill,
         classes=(class_settings,),
         may_cancel=draw(st.booleans()),
         reservations=draw(st.booleans()),
@@ -77,17 +100,42 @@
     return dict([*prefill, *decode, (("w9", "decode"), reachable)])
 
 
+@st.composite
+def silent_fleets(draw):
+    """Draw endpoints to which everything arrives and of which many answer nothing."""
+    prefill = [((f"r{n}", "prefill"), draw(silent_prefill_endpoints)) for n in range(draw(st.integers(1, 2)))]
+    mixed = [((f"m{n}", "mixed"), draw(silent_mixed_endpoints)) for n in range(draw(st.integers(1, 3)))]
+    return dict([*prefill, *mixed])
+
+
+def check_release_time(operator_settings, fleet, disconnects_at, seed):
+    """Play one request, and check that nothing stays held for it longer than the release time."""
+    model = KvLeaseModel(operator_settings, fleet, seed)
+    time_remaining = timedelta(microseconds=operator_settings.classes[0].deadline // 1000)
+    model.feed(events.RequestReceived("q", "c", 2000, 100, time_remaining, session=f"s{seed}"))
+    if disconnects_at is not None:
+        model.after(disconnects_at, lambda: model.feed(events.ClientDisconnected("q")))
+    model.run(RUN_TIME)
+    assert model.violations == [] and not model.state.violations
+    return model
+
+
 # The draws are the same each time: the verdict must not hang on chance.
 @settings(
     max_examples=400, derandomize=True, database=None, deadline=None, suppress_health_check=list(HealthCheck)
 )
 @given(router_settings(), fleets(), st.sampled_from([None, 1, 30, 90, 250, 900]), st.integers(0, 5))
 def test_nothing_stays_held_longer_than_the_release_time(operator_settings, fleet, disconnects_at, seed):
-    model = KvLeaseModel(operator_settings, fleet, seed)
-    time_remaining = timedelta(microseconds=operator_settings.classes[0].deadline // 1000)
-    model.feed(events.RequestReceived("q", "c", 2000, 100, time_remaining, session="s"))
-    if disconnects_at is not None:
-        model.after(disconnects_at, lambda: model.feed(events.ClientDisconnected("q")))
-    model.run(RUN_TIME)
-    assert model.violations == []
+    model = check_release_time(operator_settings, fleet, disconnects_at, seed)
     assert not model.state.requests and not model.held["q"].items
+
+
+@settings(
+    max_examples=600, derandomize=True, database=None, deadline=None, suppress_health_check=list(HealthCheck)
+)
+@given(
+    router_settings(append_prefill=True), silent_fleets(), st.sampled_from([None, 90, 900]), st.integers(0, 9)
+)
+def test_nothing_stays_held_where_endpoints_fall_silent(operator_settings, fleet, disconnects_at, seed):
+    model = check_release_time(operator_settings, fleet, disconnects_at, seed)
+    assert not model.held["q"].items, "a release that nobody acknowledges has arrived all the same"
--- a/tests/support/kv_lease_model.py
+++ b/tests/support/kv_lease_model.py
@@ -50,6 +50,8 @@
     reads_nothing: bool = False  # its machine acknowledges what is written, and no process reads it
     grants_reservations: bool = True
     answers_reservations: bool = True
+    answers_releases: bool = True
+    prefills_itself: bool = False  # a decode attempt with no KV state runs all the same
 
 
 @dataclass
@@ -287,7 +289,8 @@
         self.end_attempt(key, status)
 
     def start_decode(self, key: AttemptKey, attempt: EndpointAttempt, behaviour: EndpointBehaviour) -> None:
-        if not any(item.startswith("state") for item in self.held[attempt.request_id].items):
+        has_state = any(item.startswith("state") for item in self.held[attempt.request_id].items)
+        if not has_state and not behaviour.prefills_itself:
             attempt.ended = True
             overloaded = AttemptStatus.OVERLOADED
             self.after(behaviour.delay, lambda: self.end_attempt(key, overloaded, state_missing=True))
@@ -335,4 +338,7 @@
     def release(self, effect: effects.Release, behaviour: EndpointBehaviour) -> None:
         if not self.held[effect.request_id].decodes:
             self.change(effect.request_id, clears=True)
-        self.after(behaviour.delay, lambda: self.end_release_call(effect, acknowledged=True))
+        if behaviour.answers_releases:
+            self.after(behaviour.delay, lambda: self.end_release_call(effect, acknowledged=True))
+        else:
+            self.after(RELEASE_TIMEOUT, lambda: self.end_release_call(effect, acknowledged=False))
