--- a/llm_router/transport/runtime.py
+++ b/llm_router/transport/runtime.py
@@ -113,6 +113,7 @@
                 await self._wait_until_idle()
         if not self.state.is_idle:
             log.emit("leases_left", requests=len(self.state.requests))
+            self.state.requests.clear()  # their timers must start no call on a pool that closes
 
     async def _wait_until_idle(self) -> None:
         while self._tasks or not self.state.is_idle:
