Show by a test that a router whose address is taken never ends

Found by the soak, where another process had taken a router's port: a traceback in place of a log line, and a process that waits for good in Thread.start, called from LogQueue.put by the finalizer of a client session.

--- /dev/null
+++ b/tests/test_start_failure.py
@@ -0,0 +1,46 @@
+"""A router that cannot start says so in one line, and ends."""
+
+import asyncio
+import json
+import os
+import socket
+import sys
+
+from stand_ins import SETTINGS, run, within
+
+
+def test_a_router_whose_address_is_taken_ends_with_one_line(tmp_path):
+    """The error of the start went past the connection pools, whose finalizers logged as the interpreter was
+    ending; the log then waited for good for a thread that could not start."""
+
+    async def test():
+        with socket.create_server(("127.0.0.1", 0)) as occupant:
+            address = f"127.0.0.1:{occupant.getsockname()[1]}"
+            configuration = {
+                "name": "n1",
+                "listen": address,
+                "discovery": "127.0.0.1:1",
+                "seed": "8c1f",
+                "limits": {"memory_mb": 192, "sockets": 1024},
+                "settings": SETTINGS,
+                "known": {"index": 0, "snapshot": True, "endpoints": []},
+            }
+            file = tmp_path / "config.json"
+            file.write_text(json.dumps(configuration))
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "llm_router",
+                env={**os.environ, "EDGE_CONFIG": str(file)},
+                stderr=asyncio.subprocess.PIPE,
+            )
+            try:
+                _, log = await within(process.communicate())
+            finally:
+                if process.returncode is None:
+                    process.kill()
+            (line,) = [json.loads(each) for each in log.splitlines()]
+            assert line["event"] == "start_failed" and address in line["error"]
+            assert process.returncode == 1
+
+    run(test())
