End a router that cannot listen with one log line, and start no log thread at the end

Change: StartError closes watch and pools, is logged as start_failed, and ends the process with status 1. The log starts no thread once the interpreter is ending.

--- a/llm_router/__main__.py
+++ b/llm_router/__main__.py
@@ -10,15 +10,16 @@
 
 from llm_router import library_log, log
 from llm_router.configuration import ConfigurationError, RouterConfig, load_configuration
-from llm_router.service import serve
+from llm_router.service import StartError, serve
 from llm_router.transport import signals
 from llm_router.transport.event_loop import TimedEventLoop
 
+EXIT_START_FAILED = 1  # it cannot listen at its address
 EXIT_INVALID = 2  # the configuration is at fault; the log names the key
 
 
 def main(arguments: list[str]) -> int:
-    """Load the configuration and serve; return 2 if the configuration cannot be used."""
+    """Load the configuration and serve; return 2 if that cannot be used, 1 if the address cannot."""
     log.occupy_standard_streams()
     library_log.install()
     standalone_file = _parse_arguments(arguments)
@@ -34,6 +35,9 @@
     except ConfigurationError as error:
         log.emit("configuration_invalid", error=str(error))
         return EXIT_INVALID
+    except StartError as error:
+        log.emit("start_failed", error=str(error))
+        return EXIT_START_FAILED
     finally:
         log.flush()
     return 0
--- a/llm_router/log_queue.py
+++ b/llm_router/log_queue.py
@@ -5,6 +5,7 @@
 import errno
 import os
 import select
+import sys
 import threading
 import time
 from collections import deque
@@ -70,8 +71,10 @@
         self.queued_bytes += len(line.data)
 
     def _ensure_thread(self) -> None:
-        """Start the writing thread; where none can be had, the next line tries again."""
-        if self._thread is not None and self._thread.is_alive():
+        """Start the writing thread; where none can be had, the next line tries again.
+
+        At the end of the interpreter, when finalizers may still log, a new thread would never run."""
+        if sys.is_finalizing() or (self._thread is not None and self._thread.is_alive()):
             return
         thread = threading.Thread(target=self._run, name="log", daemon=True)
         try:
--- a/llm_router/service.py
+++ b/llm_router/service.py
@@ -63,6 +63,10 @@
     pools: tuple[ConnectionPool, ...]  # which are closed at the end
 
 
+class StartError(Exception):
+    """A router instance cannot listen at its address; the message names the address and the reason."""
+
+
 class RouterService:
     """One running router instance: its front end, its endpoint watch and its connections.
 
@@ -76,16 +80,23 @@
         self.watch_supervisor = Supervisor("watch", self.endpoint_watch.watch)
 
     async def run(self) -> None:
-        """Serve until a signal asks for the shutdown, and then until all accepted requests are answered."""
+        """Serve until a signal asks for the shutdown, and then until all accepted requests are answered.
+
+        Raise StartError where it cannot listen."""
         stop_requested = asyncio.Event()
         # First, as the server may have accepted a request from its start on.
         signals.install(stop_requested.set, self.reload)
-        await self._start()
+        try:
+            await self._start()
+        except OSError as error:
+            await self._close()
+            raise StartError(f"{self.config.listen}: {error}") from error
         garbage_collector = Supervisor("tidy", collect_garbage)
         await stop_requested.wait()
         await self._drain()
         garbage_collector.stop()
         await self._close()
+        log.emit("stopped")
 
     async def _start(self) -> None:
         """Start to listen."""
@@ -107,7 +118,6 @@
         self.watch_supervisor.stop()
         for pool in self.pools:
             await pool.close()
-        log.emit("stopped")
 
     def reload(self) -> None:
         """Load the configuration again and put in force what a reload may change.
