--- a/llm_router/lifecycle/attempt_events.py
+++ b/llm_router/lifecycle/attempt_events.py
@@ -54,7 +54,7 @@
     if attempt.is_running and attempt.is_prefill:
         request.lease.prefill_written(now)
     elif attempt.is_running:
-        request.lease.decode_written(event.attempt)
+        request.lease.claims.add(event.attempt)
     if denial is not None:
         yield record_violation(state, Invariant.WRITE_ALLOWED, event.request_id, denial.value)
     yield from schedule_release(now, request)
--- a/llm_router/lifecycle/invariants.py
+++ b/llm_router/lifecycle/invariants.py
@@ -56,15 +56,15 @@
 
 def is_release_planned(now: timedelta, request: Request) -> bool:
     """Return whether what may be held for a request has a release due in time, or needs none."""
-    lease = request.lease
-    if lease.release_timeout is None or lease.is_finished or lease.claims or lease.release_calls is not None:
+    lease, schedule = request.lease, request.lease.schedule
+    if schedule.release_timeout is None or lease.is_finished or lease.claims or schedule.calls is not None:
         return True
     if any(prefill.arrival is Arrival.ARRIVED for prefill in request.running_prefills):
         return True
-    if lease.state is LeaseState.EMPTY and lease.overdue_at is None:
+    if lease.state is LeaseState.EMPTY and schedule.overdue_at is None:
         return True  # the prefill of its reservations has not been written
-    due = lease.release_at if request.may_release(now) else lease.overdue_at
-    return due is not None and due <= now + lease.release_timeout + MAX_RELEASE_DELAY
+    release_at = schedule.release_at if request.may_release(now) else schedule.overdue_at
+    return release_at is not None and release_at <= now + schedule.release_timeout + MAX_RELEASE_DELAY
 
 
 def lease_history(request: Request) -> effects.LogEvent:
--- a/llm_router/lifecycle/kv_lease.py
+++ b/llm_router/lifecycle/kv_lease.py
@@ -11,15 +11,9 @@
 
 from llm_router.lifecycle.events import ReservationOutcome
 from llm_router.lifecycle.release_calls import ReleaseCalls
+from llm_router.lifecycle.release_schedule import MILLISECOND, ReleaseSchedule
 from llm_router.routing.events import AttemptStatus
 
-MILLISECOND = timedelta(milliseconds=1)
-RELEASE_MARGIN = 50 * MILLISECOND  # of the release time, for the release calls themselves
-# The protocol gives 300 ms beyond the release time. Where that time is shorter, waits may use this much.
-MIN_CLAIM_TIME = 100 * MILLISECOND  # for a decode attempt to claim a KV state
-MIN_RELEASE_INTERVAL = 100 * MILLISECOND  # between two releases of what may still come to be held
-DEFAULT_RELEASE_INTERVAL = 500 * MILLISECOND  # the same where the settings name no release time
-UNCONFIRMED_PREFILL_TIME = 100 * MILLISECOND  # for a prefill to show that it arrived, past the release time
 MIN_CONNECT_TIME = 100 * MILLISECOND  # a connection over a busy link still comes up within this
 CLOSE_SETTLE_TIME = 15 * MILLISECOND  # a release waits so long after an abort: most closes arrive before it
 MAX_CLOSE_DELAY = 200 * MILLISECOND  # a close may take this long to its endpoint
@@ -90,17 +84,14 @@
     The release time counts from the last outcome or reservation. An attempt whose connection never comes up
     is no outcome: the time runs on meanwhile. All times are on the router's clock."""
 
-    release_timeout: timedelta | None  # the release time of the settings, None for no limit
+    schedule: ReleaseSchedule
     state: LeaseState = LeaseState.EMPTY
-    release_at: timedelta | None = None  # when the next release is due, unless an attempt is running
-    overdue_at: timedelta | None = None  # from then on a prefill of which nothing shows delays no release
     may_arrive_until: timedelta = timedelta()  # a release that started before this may miss something
     released_before: timedelta = timedelta()  # all that was held before this has gone
     orphaned_at: timedelta = timedelta()  # when something was last left that no attempt will claim
     prefill_may_run_until: timedelta = timedelta()  # until then a prefill whose connection broke may end well
     pending_reservations: int = 0  # reservation calls that have not ended
     claims: set[int] = field(default_factory=set)  # running decode attempts: what they wait for stays
-    release_calls: ReleaseCalls | None = None  # the calls of the release that is being made
 
     @property
     def is_finished(self) -> bool:
@@ -112,48 +103,36 @@
         """Whether something may be held of which no endpoint has acknowledged a release yet."""
         return self.state is LeaseState.ORPHANED and self.released_before <= self.orphaned_at
 
-    @property
-    def next_release_at(self) -> timedelta | None:
-        """When the next release, or the next round of calls of one, is due; None where none is."""
-        return self.release_at if self.release_calls is None else self.release_calls.next_round_at
-
-    def is_overdue(self, now: timedelta) -> bool:
-        """Return whether what may be held must go, unless a running prefill is known to have arrived."""
-        return self.overdue_at is not None and now >= self.overdue_at
-
     def connect_timeout(self, now: timedelta) -> timedelta | None:
         """Return how long a decode attempt may wait for its connection, None for no limit by the lease.
 
         It is half of the time that is left, so that a second endpoint can be tried before the KV state must
         be released."""
-        if self.state is not LeaseState.AVAILABLE or self.release_at is None:
+        release_at = self.schedule.release_at
+        if self.state is not LeaseState.AVAILABLE or release_at is None:
             return None
-        remaining = max(self.release_at - now, MILLISECOND)
+        remaining = max(release_at - now, MILLISECOND)
         return min(remaining, max(remaining / 2, MIN_CONNECT_TIME))
 
     def prefill_written(self, now: timedelta) -> None:
         """Record that a prefill may have reached its endpoint: reservations for it are made from now on."""
         if self.pending_reservations:
-            self._may_hold_from(now)
+            self.schedule.release_once_overdue(now)
 
     def prefill_ended(self, now: timedelta, status: AttemptStatus) -> None:
         """Record the end of a prefill attempt that was written."""
         if status is AttemptStatus.PREFILLED:
             self._change(LeaseChange.PREFILLED)
-            self.release_calls = None
-            self.overdue_at = None
+            self.schedule.calls = None
+            self.schedule.overdue_at = None
             self.may_arrive_until = max(self.may_arrive_until, now)
-            self.release_at = self._claim_deadline(now)
+            self.schedule.release_at = self.schedule.claim_deadline(now)
         elif status in LATE_PREFILL_WINDOWS:
             self._leave_behind(now, now + LATE_PREFILL_WINDOWS[status])
             if status is AttemptStatus.RESET:
                 self.prefill_may_run_until = now + MAX_PREFILL_RUN_ON
             if self.state is LeaseState.ORPHANED:
-                self.release_at = now + CLOSE_SETTLE_TIME  # the time counts anew from this outcome
-
-    def decode_written(self, attempt: int) -> None:
-        """Record that a decode attempt may have reached its endpoint, and may wait for the KV state there."""
-        self.claims.add(attempt)
+                self.schedule.release_at = now + CLOSE_SETTLE_TIME  # the time counts anew from this outcome
 
     def decode_ended(
         self, attempt: int, now: timedelta, status: AttemptStatus, *, after_silence: bool = False
@@ -172,8 +151,8 @@
         close_delay = MAX_CLOSE_DELAY_AFTER_SILENCE if after_silence else MAX_CLOSE_DELAY
         closed_by = now + close_delay if status in LATE_PREFILL_WINDOWS else now
         if self.state is LeaseState.AVAILABLE:
-            self.release_calls = None  # it would take the KV state from the next attempt
-            self.release_at = self._claim_deadline(now)
+            self.schedule.calls = None  # it would take the KV state from the next attempt
+            self.schedule.release_at = self.schedule.claim_deadline(now)
             self.may_arrive_until = max(self.may_arrive_until, closed_by)
         else:
             self._leave_behind(now + CLOSE_SETTLE_TIME, closed_by)
@@ -182,7 +161,7 @@
         """Record that a reservation call has started; it is made once its prefill is written."""
         self.pending_reservations += 1
         if prefill_written:
-            self._may_hold_from(now)
+            self.schedule.release_once_overdue(now)
 
     def reservation_ended(self, now: timedelta, outcome: ReservationOutcome) -> None:
         """Record the end of a reservation call; what it may have left is released at the next occasion."""
@@ -190,7 +169,7 @@
         if outcome in (ReservationOutcome.REJECTED, ReservationOutcome.NOT_MADE):
             self._finish_if_released()
             if self.is_finished:
-                self.release_at = self.overdue_at = None
+                self.schedule.clear()
         else:
             unanswered = outcome is ReservationOutcome.UNANSWERED
             self._leave_behind(now, now + (MAX_RESERVATION_DELAY if unanswered else timedelta()))
@@ -206,34 +185,25 @@
             return
         self._change(LeaseChange.ABANDONED)
         self.orphaned_at = now
-        self._overdue_from(now)
-        self._release_by(now + CLOSE_SETTLE_TIME if now < self.may_arrive_until else now)
+        self.schedule.overdue_from(now)
+        self.schedule.release_by(now + CLOSE_SETTLE_TIME if now < self.may_arrive_until else now)
 
     def response_started(self, now: timedelta) -> None:
         """Record that the response has started: all that was held went with it.
 
         What came to be held a moment later, by a call that was still out, is left behind."""
-        self.release_calls = None
+        self.schedule.calls = None
         self.claims.clear()
         self._released(now)
 
     def release_started(self, calls: ReleaseCalls) -> None:
         """Record that a release is being made of all that is held."""
         self._change(LeaseChange.ABANDONED)
-        self.release_calls = calls
-        self.release_at = None
-
-    def release_started_during_decode(self, calls: ReleaseCalls) -> None:
-        """Record that a release is being made while a decode attempt runs that was to claim the KV state.
-
-        An attempt that waits for the KV state keeps it. If the attempt never arrived, the KV state must go
-        in time."""
-        self.release_calls = calls
-        self.release_at = None
+        self.schedule.start(calls)
 
     def release_acknowledged(self, started_at: timedelta) -> None:
         """Record that an endpoint has acknowledged a release: all that was held before its start has gone."""
-        self.release_calls = None
+        self.schedule.calls = None
         if self.state is LeaseState.AVAILABLE:
             self.released_before = max(self.released_before, started_at)
             self._plan_next_release(started_at)
@@ -243,49 +213,21 @@
     def release_expired(self) -> None:
         """Give up: no endpoint has acknowledged a release for long; they free by themselves what is left."""
         self._change(LeaseChange.EXPIRED)
-        self.release_calls = None
-        self.release_at = self.overdue_at = None
+        self.schedule.calls = None
+        self.schedule.clear()
 
     def _change(self, change: LeaseChange) -> None:
         """Enter the state that follows a change."""
         self.state = LEASE_TRANSITIONS[change].get(self.state, self.state)
 
-    def _claim_deadline(self, now: timedelta) -> timedelta | None:
-        """Return the time by which a decode attempt has to claim a KV state that is there now."""
-        if self.release_timeout is None:
-            return None
-        return now + max(self.release_timeout - RELEASE_MARGIN, self.release_timeout / 2, MIN_CLAIM_TIME)
-
     def _leave_behind(self, release_at: timedelta, may_arrive_until: timedelta) -> None:
         """Record that something may be held, or come to be held until a time, that no attempt will claim."""
         self.may_arrive_until = max(self.may_arrive_until, may_arrive_until)
         self.orphaned_at = max(self.orphaned_at, release_at)
-        self._overdue_from(release_at)
+        self.schedule.overdue_from(release_at)
         if self.state is not LeaseState.AVAILABLE:
             self._change(LeaseChange.LEFT_BEHIND)
-            self._release_by(release_at)
-
-    def _may_hold_from(self, now: timedelta) -> None:
-        """Record that a reservation may be held from now on, whether or not its answer ever comes."""
-        self._overdue_from(now)
-        if self.overdue_at is not None:
-            self._release_by(self.overdue_at)
-
-    def _overdue_from(self, left_at: timedelta) -> None:
-        """Bring forward from when on a release must be made of what may be held since a time."""
-        if self.release_timeout is None:
-            return
-        overdue_at = left_at + self.release_timeout + UNCONFIRMED_PREFILL_TIME
-        self.overdue_at = overdue_at if self.overdue_at is None else min(self.overdue_at, overdue_at)
-
-    def _release_by(self, moment: timedelta) -> None:
-        """Bring the next release forward to a time, unless it is due earlier.
-
-        One that is being made begins anew: its calls may have been spent while they could free nothing."""
-        if self.release_calls is not None:
-            self.release_calls.restart(moment)
-        else:
-            self.release_at = moment if self.release_at is None else min(self.release_at, moment)
+            self.schedule.release_by(release_at)
 
     def _released(self, moment: timedelta) -> None:
         """Record that all that was held before a moment has gone; plan for what may still come."""
@@ -298,13 +240,10 @@
         """Plan the release after one that started at a moment, for what may still come to be held.
 
         None is due for what a decode attempt waits for, before its end."""
-        self.overdue_at = None
         if self._more_may_arrive:
-            self._overdue_from(moment)
-            interval = DEFAULT_RELEASE_INTERVAL if self.release_timeout is None else self.release_timeout
-            self._release_by(moment + max(interval - RELEASE_MARGIN, MIN_RELEASE_INTERVAL))
+            self.schedule.plan_after(moment)
         else:
-            self.release_at = None
+            self.schedule.clear()
 
     @property
     def _more_may_arrive(self) -> bool:
@@ -316,8 +255,8 @@
 
         A release frees nothing that a decode attempt waits for: its acknowledgement proves nothing while one
         runs."""
-        if self.state is not LeaseState.ORPHANED or self.release_calls is not None or self.claims:
+        if self.state is not LeaseState.ORPHANED or self.schedule.calls is not None or self.claims:
             return
         if not self._more_may_arrive:
             self._change(LeaseChange.FULLY_RELEASED)
-            self.release_at = self.overdue_at = None
+            self.schedule.clear()
--- a/llm_router/lifecycle/releases.py
+++ b/llm_router/lifecycle/releases.py
@@ -20,19 +20,22 @@
     if not request.may_release(now):
         yield from schedule_release(now, request)
         return
-    lease = request.lease
-    if lease.release_calls is None and lease.release_at is not None and now >= lease.release_at:
+    schedule = request.lease.schedule
+    if schedule.calls is None and schedule.release_at is not None and now >= schedule.release_at:
         yield from _start_release(now, request)
-    if lease.release_calls is not None and now >= lease.release_calls.next_round_at:
-        yield from _start_round(state, now, request, lease.release_calls)
+    if schedule.calls is not None and now >= schedule.calls.next_round_at:
+        yield from _start_round(state, now, request, schedule.calls)
     yield from schedule_release(now, request)
 
 
 def _start_release(now: timedelta, request: Request) -> Iterator[effects.Effect]:
-    """Start a release; attempts to claim the KV state that are still connecting are too late for it."""
+    """Start a release; attempts to claim the KV state that are still connecting are too late for it.
+
+    A decode attempt that waits for the KV state keeps it. If the attempt never arrived, the KV state must go
+    in time."""
     lease = request.lease
     if lease.state is LeaseState.AVAILABLE and request.has_running_decode:
-        lease.release_started_during_decode(ReleaseCalls.beginning(now))
+        lease.schedule.start(ReleaseCalls.beginning(now))
         return
     if lease.state is LeaseState.AVAILABLE:
         yield from request.abort_all_attempts(AttemptStatus.CONNECT_FAILED)
@@ -69,7 +72,7 @@
 
 def cancel_release_calls(request: Request) -> Iterator[effects.Effect]:
     """Cancel the calls of a release that is no longer being made."""
-    if request.release_call_count and request.lease.release_calls is None:
+    if request.release_call_count and request.lease.schedule.calls is None:
         yield effects.CancelReleases(request.request_id)
 
 
@@ -77,9 +80,9 @@
     """Set a timer for the next release or round of calls, unless one is set that fires no later.
 
     One that a running prefill holds back is made once it is overdue."""
-    fires_at = request.lease.next_release_at
+    fires_at = request.lease.schedule.next_at
     if fires_at is not None and not request.may_release(now):
-        overdue_at = request.lease.overdue_at
+        overdue_at = request.lease.schedule.overdue_at
         fires_at = overdue_at if overdue_at is not None and overdue_at > now else None
     if fires_at is None:
         return
@@ -92,7 +95,7 @@
     state: RouterState, now: timedelta, request: Request, event: events.ReleaseCallEnded
 ) -> Iterator[effects.Effect]:
     """Record what came of a release call; where the endpoint did not acknowledge it, call the next one."""
-    calls = request.lease.release_calls
+    calls = request.lease.schedule.calls
     call = None if calls is None else calls.running.pop(event.call_number, None)
     if calls is None or call is None:
         return
--- a/llm_router/lifecycle/request.py
+++ b/llm_router/lifecycle/request.py
@@ -123,7 +123,7 @@
         if not prefills or now < self.lease.prefill_may_run_until:
             return True
         has_arrived = any(prefill.arrival is Arrival.ARRIVED for prefill in prefills)
-        return self.lease.is_overdue(now) and not has_arrived
+        return self.lease.schedule.is_overdue(now) and not has_arrived
 
     def record_lease_state(self, now: timedelta) -> None:
         """Add the lease's state to the history where it has changed."""
--- a/llm_router/lifecycle/request_events.py
+++ b/llm_router/lifecycle/request_events.py
@@ -9,6 +9,7 @@
 from llm_router.lifecycle.final_answers import fail_request
 from llm_router.lifecycle.kv_lease import KvLease
 from llm_router.lifecycle.policy_actions import consult_policy
+from llm_router.lifecycle.release_schedule import ReleaseSchedule
 from llm_router.lifecycle.request import Request, RequestChange
 from llm_router.lifecycle.request_completion import complete_request
 from llm_router.lifecycle.state import RouterState
@@ -61,7 +62,8 @@
 def _accepted_request(state: RouterState, now: timedelta, event: events.RequestReceived) -> Request:
     """Return the state of a request that is accepted now."""
     release_timeout = state.settings.release_timeout
-    lease = KvLease(None if release_timeout is None else to_timedelta(release_timeout))
+    schedule = ReleaseSchedule(None if release_timeout is None else to_timedelta(release_timeout))
+    lease = KvLease(schedule)
     return Request(event, now, now + event.time_remaining, lease)
 
 
--- a/tests/lifecycle/test_kv_lease_state.py
+++ b/tests/lifecycle/test_kv_lease_state.py
@@ -7,6 +7,7 @@
 
 from llm_router.lifecycle.kv_lease import MAX_PREFILL_RUN_ON, KvLease, LeaseState
 from llm_router.lifecycle.release_calls import ReleaseCalls
+from llm_router.lifecycle.release_schedule import ReleaseSchedule
 from llm_router.routing.events import AttemptStatus
 
 RELEASE_TIMEOUT = timedelta(milliseconds=300)
@@ -14,7 +15,7 @@
 
 @pytest.fixture
 def lease():
-    return KvLease(RELEASE_TIMEOUT)
+    return KvLease(ReleaseSchedule(RELEASE_TIMEOUT))
 
 
 def test_two_decode_endpoints_share_the_connect_time_within_the_release_time(lease):
@@ -40,7 +41,7 @@
     lease.prefill_ended(SECOND, status)
     assert lease.state is state
     lease.release_started(ReleaseCalls.beginning(SECOND))
-    assert not lease.is_finished and lease.release_at is None
+    assert not lease.is_finished and lease.schedule.release_at is None
     lease.release_acknowledged(SECOND)
     assert lease.is_finished is (status is AttemptStatus.PREFILLED), "what was cut off may show up later"
     lease.release_started(ReleaseCalls.beginning(SECOND))
@@ -53,11 +54,11 @@
 )
 def test_a_prefill_that_never_ran_leaves_nothing_to_release(lease, status):
     lease.prefill_ended(SECOND, status)
-    assert lease.is_finished and lease.release_at is None
+    assert lease.is_finished and lease.schedule.release_at is None
 
 
 def test_a_response_that_starts_ends_the_lease(lease):
     lease.prefill_ended(SECOND, AttemptStatus.PREFILLED)
     lease.response_started(SECOND)
     lease.abandon(SECOND)
-    assert lease.is_finished and lease.release_at is None
+    assert lease.is_finished and lease.schedule.release_at is None
--- a/tests/lifecycle/test_lease_releases.py
+++ b/tests/lifecycle/test_lease_releases.py
@@ -96,11 +96,11 @@
     lifecycle.finish_prefill()
     lifecycle.silence_policy()
     lease, prefilled_at = lifecycle.state.requests["q"].lease, lifecycle.now
-    release_at = lease.release_at
+    release_at = lease.schedule.release_at
     lifecycle.feed(events.AttemptEnded("q", 1, AttemptStatus.CONNECT_FAILED), 20 * MILLISECOND)
-    assert lease.release_at == release_at < prefilled_at + 500 * MILLISECOND
+    assert lease.schedule.release_at == release_at < prefilled_at + 500 * MILLISECOND
     lease.decode_ended(1, lifecycle.now, status)
-    assert lifecycle.now < lease.release_at < lifecycle.now + 500 * MILLISECOND
+    assert lifecycle.now < lease.schedule.release_at < lifecycle.now + 500 * MILLISECOND
 
 
 def test_endpoints_that_reject_a_release_are_called_a_few_at_a_time(lifecycle):
