Release for three seconds after a prefill that was given up in silence

Change: as after a decode attempt, releases go on for 3 s where the endpoint had answered nothing for 0.5 s or more. A next prefill that is known to have arrived holds them back.

--- a/llm_router/lifecycle/attempt_events.py
+++ b/llm_router/lifecycle/attempt_events.py
@@ -123,10 +123,10 @@
     if had_response or status is AttemptStatus.OK:
         request.change(RequestChange.CLOSED)
     if attempt.was_written or status in ONLY_WRITTEN:
+        after_silence = status in ABORTED and _was_silent(state, now, attempt)
         if attempt.is_prefill:
-            request.lease.prefill_ended(now, status)
+            request.lease.prefill_ended(now, status, after_silence=after_silence)
         elif not had_response:
-            after_silence = status in ABORTED and _was_silent(state, now, attempt)
             request.lease.decode_ended(event.attempt, now, status, after_silence=after_silence)
         yield from cancel_release_calls(request)
     _record_contact(state, now, attempt, status, event.connection_fault)
--- a/llm_router/lifecycle/kv_lease.py
+++ b/llm_router/lifecycle/kv_lease.py
@@ -119,8 +119,8 @@
         if self.pending_reservations:
             self.schedule.release_once_overdue(now)
 
-    def prefill_ended(self, now: timedelta, status: AttemptStatus) -> None:
-        """Record the end of a prefill attempt that was written."""
+    def prefill_ended(self, now: timedelta, status: AttemptStatus, *, after_silence: bool = False) -> None:
+        """Record the end of a prefill attempt that was written; `after_silence` as in `decode_ended`."""
         if status is AttemptStatus.PREFILLED:
             self._change(LeaseChange.PREFILLED)
             self.schedule.calls = None
@@ -128,7 +128,8 @@
             self.may_arrive_until = max(self.may_arrive_until, now)
             self.schedule.release_at = self.schedule.claim_deadline(now)
         elif status in LATE_PREFILL_WINDOWS:
-            self._leave_behind(now, now + LATE_PREFILL_WINDOWS[status])
+            window = MAX_CLOSE_DELAY_AFTER_SILENCE if after_silence else LATE_PREFILL_WINDOWS[status]
+            self._leave_behind(now, now + window)
             if status is AttemptStatus.RESET:
                 self.prefill_may_run_until = now + MAX_PREFILL_RUN_ON
             if self.state is LeaseState.ORPHANED:
