Let the soak fall silent as in the incident, stop routers early, and draw customers

Cause: the soak played none of the incident's faults: its hanging endpoint took the request, some endpoint always acknowledged, no deadline was longer than a release was tried, and there was one customer.

Change: endpoints that are frozen (what comes is acknowledged and not read), mute, or never end a prefill's answer, alone or all of a kind together; answers of all endpoints lost for up to 7.5 s; customers with other release times (0, 60 ms, 1 s), with endpoints that prefill by themselves, with a crowd of idle clients; requests of 8 s; restarts by series of signals; SIGKILL 3.7 s after SIGTERM, until which clients use open connections, and after which what was owed counts as lost. Routers listen below the ports of outgoing connections.

--- a/benchmarks/fleet_footprint.py
+++ b/benchmarks/fleet_footprint.py
@@ -22,7 +22,7 @@
 from llm_router.emulator.load_generator import LoadGenerator
 from llm_router.emulator.oracle import Oracle
 from llm_router.emulator.router_process import RouterProcess, RouterSpec
-from llm_router.emulator.soak.scenario import CLASSES, DRAIN_GRACE, RELEASE_TIMEOUT, router_settings
+from llm_router.emulator.soak.scenario import CLASSES, DRAIN_GRACE, RELEASE_TIMEOUT, Customer, router_settings
 
 ROUTERS = 200
 WARM_UP = 5.0  # seconds before anything is measured
@@ -80,7 +80,7 @@
         self._oracle = Oracle(RELEASE_TIMEOUT, DRAIN_GRACE)
         self._registry = EndpointRegistry(self._oracle.drains)
         self._started: list[EmulatedEndpoint] = []  # in order; the last `size` are listed
-        spec = RouterSpec("n0", router_settings(ROUTERS, 0, reservations=True), folder)
+        spec = RouterSpec("n0", router_settings(ROUTERS, 0, Customer(reservations=True)), folder)
         self._router = RouterProcess(self._oracle, self._registry, spec)
         self._clients = LoadGenerator(self._oracle, self._router, CLASSES, seed=1)
 
--- a/llm_router/emulator/endpoint.py
+++ b/llm_router/emulator/endpoint.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import re
+from contextlib import suppress
 from enum import Enum, auto
 
 from llm_router.emulator.background_tasks import BackgroundTasks
@@ -22,6 +23,7 @@
 UNKNOWN_RESERVATION_DELAY = 0.3  # seconds after which a reservation with no prefill in flight is answered
 RESERVATION_GRANT_SHARE = 0.7  # of the reservations for which a prefill is in flight
 ORPHANED_PREFILL_LIMIT = 0.4  # seconds that a prefill goes on at most after its connection was reset
+CHAT_PATH = "/v1/chat"
 ATTEMPT = re.compile(
     rb"POST /v1/chat[^\r\n]*\r\n(?:[^\r\n]+\r\n)*?X-Correlation-Id: ([^\r\n]+)\r\n", re.IGNORECASE
 )
@@ -40,6 +42,9 @@
     FAILING = auto()  # answers 500
     RESETTING = auto()  # resets the connection of a prefill, which goes on, or cuts a stream
     MALFORMED = auto()  # answers what cannot be parsed
+    FROZEN = auto()  # its machine acknowledges what comes, and its process reads nothing
+    TRUNCATING = auto()  # sends the head of a prefill's answer, and never ends its body
+    MUTE = auto()  # does all that is asked, and answers nothing
 
 
 class EmulatedEndpoint:
@@ -55,6 +60,8 @@
         self._behaviour = EndpointBehaviour.NORMAL
         self._responsive = asyncio.Event()  # cleared while it hangs
         self._responsive.set()
+        self._reading = asyncio.Event()  # cleared while it is frozen
+        self._reading.set()
         self._slow_start: SlowStartCheck | None = None
         self._tasks = BackgroundTasks()
         self._proxy: FaultProxy | None = None
@@ -82,6 +89,7 @@
         if self._server is not None:
             self._server.close()
         self._responsive.set()
+        self._reading.set()
         if self._proxy is not None:
             await self._proxy.close()
         self._tasks.cancel()
@@ -102,10 +110,8 @@
     def set_behaviour(self, behaviour: EndpointBehaviour) -> None:
         """Change how attempts are answered from now on."""
         self._behaviour = behaviour
-        if behaviour is EndpointBehaviour.HANGING:
-            self._responsive.clear()
-        else:
-            self._responsive.set()
+        _set_or_clear(self._responsive, behaviour is not EndpointBehaviour.HANGING)
+        _set_or_clear(self._reading, behaviour is not EndpointBehaviour.FROZEN)
 
     def begin_slow_start(self, slow_start: SlowStart) -> None:
         """Check its calls against the budget of slow start from now on."""
@@ -123,6 +129,9 @@
         self.accepted_connections += 1
         try:
             while (call := await read_message(reader)) is not None:
+                await self._reading.wait()
+                if call.path.startswith(CHAT_PATH) and reader.at_eof():
+                    return  # given up while it was not read
                 await self._answer(call, reader, writer)
                 if writer.is_closing():
                     return
@@ -138,6 +147,7 @@
         request_id = call.headers.get("x-correlation-id", call.path.rpartition("/")[2])
         if call.method == "DELETE":
             self._oracle.leases.release_received(request_id)
+            await self._withhold_answer()
             writer.write(message("HTTP/1.1 204 No Content"))
         elif call.path.startswith("/v1/holds/"):
             await self._reserve(request_id, writer)
@@ -159,6 +169,7 @@
             self._oracle.leases.acquired(request_id, LeasedResource(ResourceKind.RESERVATION, self.name))
         if self._behaviour is EndpointBehaviour.HANGING:
             await self._responsive.wait()
+        await self._withhold_answer()
         if not known:
             await asyncio.sleep(UNKNOWN_RESERVATION_DELAY)
             writer.write(message("HTTP/1.1 204 No Content"))
@@ -202,12 +213,35 @@
             failing = self._behaviour is EndpointBehaviour.FAILING
             writer.write(INTERNAL_ERROR if failing else MALFORMED_RESPONSE)
             return
+        if completed:
+            await self._until_answer_arrives(reader)
         executions.prefill_ended(request_id, self.name, left_state=completed)
+        await self._withhold_answer()
         if completed:
-            writer.write(message("HTTP/1.1 202 Accepted", b'{"cached_tokens":0}'))
+            answer = message("HTTP/1.1 202 Accepted", b'{"cached_tokens":0}')
+            is_truncated = self._behaviour is EndpointBehaviour.TRUNCATING
+            writer.write(answer[:-1] if is_truncated else answer)
         else:
             writer.close()
 
+    async def _until_answer_arrives(self, reader: asyncio.StreamReader) -> None:
+        """Wait until the router can get an answer, or gives the attempt up: till then it is in flight."""
+        if self._behaviour is EndpointBehaviour.MUTE:
+            await _until_disconnected(reader)
+        elif self._proxy is not None:
+            passing = asyncio.ensure_future(self._proxy.wait_until_answers_pass())
+            disconnected = asyncio.ensure_future(_until_disconnected(reader))
+            waiting = {passing, disconnected}
+            await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            for task in waiting:
+                task.cancel()
+            await asyncio.wait(waiting)
+
+    async def _withhold_answer(self) -> None:
+        """Keep an answer back for good while answers are lost."""
+        if self._behaviour is EndpointBehaviour.MUTE:
+            await asyncio.Event().wait()
+
     async def _finish_orphaned_prefill(self, request_id: str) -> None:
         """End a prefill whose connection was reset; its KV state is leased like any other."""
         await asyncio.sleep(self._rng.uniform(0, ORPHANED_PREFILL_LIMIT))
@@ -216,9 +250,9 @@
     async def _decode(
         self, request_id: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Stream an answer for a request whose KV state waits."""
+        """Stream an answer for a request whose KV state waits, or that a mixed endpoint prefills itself."""
         self._check_slow_start(request_id)
-        if not self._oracle.leases.has_kv_state(request_id):
+        if self.kind != "mixed" and not self._oracle.leases.has_kv_state(request_id):
             writer.write(message("HTTP/1.1 410 Gone", X_Unprocessed=1))
             return
         self._oracle.executions.decode_started(request_id, self.name)
@@ -227,6 +261,9 @@
             completed = await self._work(FIRST_TOKEN_DELAY, reader)
             if not completed:
                 writer.close()
+            elif self._behaviour is EndpointBehaviour.MUTE:
+                await _until_disconnected(reader)
+                writer.close()
             elif self._behaviour is EndpointBehaviour.FAILING:
                 writer.write(INTERNAL_ERROR)
             else:
@@ -255,3 +292,17 @@
                 writer.write(MALFORMED_CHUNK)
                 return
         writer.write(chunk(b"data: [DONE]\n\n") + LAST_CHUNK)
+
+
+async def _until_disconnected(reader: asyncio.StreamReader) -> None:
+    """Wait until the router gives up an attempt, by an end of its connection or a reset."""
+    with suppress(ConnectionError):
+        await reader.read(1)
+
+
+def _set_or_clear(event: asyncio.Event, is_set: bool) -> None:
+    """Set an event, or clear it."""
+    if is_set:
+        event.set()
+    else:
+        event.clear()
--- a/llm_router/emulator/fault_proxy.py
+++ b/llm_router/emulator/fault_proxy.py
@@ -20,6 +20,8 @@
         self._on_bytes = on_bytes
         self._passable = asyncio.Event()
         self._passable.set()
+        self._answers_passable = asyncio.Event()  # cleared while only what the target sends is held up
+        self._answers_passable.set()
         self._transports: set[asyncio.WriteTransport] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._port = 0
@@ -44,9 +46,19 @@
         """Let no bytes pass until `heal` is called."""
         self._passable.clear()
 
+    async def wait_until_answers_pass(self) -> None:
+        """Wait until what the target sends reaches the other side."""
+        await self._passable.wait()
+        await self._answers_passable.wait()
+
+    def block_answers(self) -> None:
+        """Let no bytes pass from the target until `heal` is called: a partition in one direction."""
+        self._answers_passable.clear()
+
     def heal(self) -> None:
         """Let bytes pass, those that arrived during a partition first."""
         self._passable.set()
+        self._answers_passable.set()
 
     def reset(self) -> None:
         """Reset all connections."""
@@ -71,7 +83,7 @@
         transports = {writer.transport, target_writer.transport}
         self._transports |= transports
         upstream = asyncio.ensure_future(self._forward(reader, target_writer, self._on_bytes))
-        downstream = asyncio.ensure_future(self._forward(target_reader, writer, None))
+        downstream = asyncio.ensure_future(self._forward(target_reader, writer, None, is_answer=True))
         tasks = {upstream, downstream}
         self._tasks |= tasks
         try:
@@ -89,12 +101,15 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         on_bytes: Callable[[bytes], None] | None,
+        is_answer: bool = False,
     ) -> None:
         """Forward one direction of a connection, and its end."""
         try:
             while data := await reader.read(READ_SIZE):
                 if on_bytes is not None:
                     on_bytes(data)
+                if is_answer:
+                    await self.wait_until_answers_pass()
                 await self._wait_until_passable(reader)
                 writer.write(data)
                 await writer.drain()
--- a/llm_router/emulator/load_generator.py
+++ b/llm_router/emulator/load_generator.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import re
+from contextlib import suppress
 from dataclasses import dataclass
 from itertools import count
 
@@ -14,7 +15,7 @@
 from llm_router.emulator.router_process import RouterProcess
 
 BODY = b'{"stream":true,"max_tokens":20,"messages":[]}'
-TIME_REMAINING_MS = (250, 900, 2500, 4000)
+TIME_REMAINING_MS = (250, 900, 2500, 4000, 8000)
 DISCONNECT_AFTER = (0.0, 0.005, 0.03, 0.12, 0.4)  # seconds
 DISCONNECTING_SHARE = 0.2  # of the clients
 RESETTING_SHARE = 0.3  # of the clients that disconnect
@@ -80,11 +81,31 @@
         while True:
             await asyncio.sleep(self._rng.expovariate(rate))
             if not self._router.ready:
-                self._close_idle()
+                self._use_idle_or_close()
                 continue
             is_malformed = self._rng.random() < MALFORMED_SHARE
             self._tasks.spawn(self._send_malformed() if is_malformed else self._send_request())
 
+    async def gather_crowd(self, size: int) -> None:
+        """Open so many connections that stay idle until the router ends them."""
+        for _ in range(size):
+            connection = await self._connect()
+            if connection is not None:
+                self._tasks.spawn(self._wait_for_close(connection))
+
+    async def _wait_for_close(self, connection: Connection) -> None:
+        """Leave a connection idle until its other end closes it."""
+        with suppress(OSError):
+            await connection.reader.read()
+        connection.writer.close()
+
+    def _use_idle_or_close(self) -> None:
+        """Send on an open connection of a router that is being stopped; close all once it has ended."""
+        if not self._router.is_running or self._router.terminated_at is None:
+            self._close_idle()
+        elif self._idle:
+            self._tasks.spawn(self._send_on(self._idle.pop()))
+
     def _close_idle(self) -> None:
         """Close the idle connections."""
         while self._idle:
@@ -123,12 +144,15 @@
         """Send one request and wait for its end."""
         idle = self._take_idle()
         connection = idle or await self._connect()
-        if connection is None:
-            return
+        if connection is not None:
+            await self._send_on(connection, may_retry=idle is not None)
+
+    async def _send_on(self, connection: Connection, may_retry: bool = True) -> None:
+        """Send one request on a connection, and wait for its end."""
         request = self._draw_request()
         process = self._router.process
         try:
-            await self._exchange_with_retry(request, connection, may_retry=idle is not None)
+            await self._exchange_with_retry(request, connection, may_retry)
         except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
             await self._check_unanswered(request.id, process, error)
 
@@ -159,11 +183,19 @@
     ) -> None:
         """Report a connection that ended without an answer, unless the soak killed its router."""
         await asyncio.sleep(KILL_GRACE)
-        if process.returncode is None or process.returncode >= 0:
+        was_killed = process.returncode is not None and process.returncode < 0
+        if not was_killed or self._was_owed(request_id, process):
             self._oracle.clients.closed_unanswered(request_id, f"its connection ended: {error!r}")
         else:
             self._oracle.clients.request_abandoned(request_id)
 
+    def _was_owed(self, request_id: str, process: asyncio.subprocess.Process) -> bool:
+        """Return whether a planned restart killed a router that had to answer a request before."""
+        record = self._oracle.traffic.requests[request_id]
+        if record.deadline is None or self._router.process is not process:
+            return False
+        return self._router.owes_answer_at_kill(record.written_at, record.deadline)
+
     async def _exchange(self, request: ClientRequest, connection: Connection) -> None:
         """Exchange one request, then put its connection back or close it."""
         connection.reusable = False
--- a/llm_router/emulator/oracle/client_checks.py
+++ b/llm_router/emulator/oracle/client_checks.py
@@ -27,7 +27,9 @@
 
     def request_written(self, request_id: str, time_remaining: float) -> None:
         """Record that a request's last byte was written; its client gives up after that many seconds."""
-        self._traffic.requests[request_id].deadline = self._clock.now + time_remaining
+        record = self._traffic.requests[request_id]
+        record.written_at = self._clock.now
+        record.deadline = record.written_at + time_remaining
 
     def client_disconnected(self, request_id: str) -> None:
         """Record that a client closes its connection."""
--- a/llm_router/emulator/oracle/oracle_clock.py
+++ b/llm_router/emulator/oracle/oracle_clock.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 DELAY_WINDOW = 3.0  # seconds for which a scheduling delay of the oracle's own loop excuses late observations
+PROXY_TURNS = 3  # of the event loop, from bytes on a new connection to their report: accept, connect, read
 SAMPLE_INTERVAL = 0.01  # seconds between two measurements of the scheduling delay
 
 
@@ -39,6 +40,11 @@
         """Return the longest recent scheduling delay in seconds, 0 without a measurement."""
         return max((sample.delay for sample in self._samples), default=0.0)
 
+    @property
+    def proxy_delay(self) -> float:
+        """Return how late, in seconds, a proxy may report bytes that came on a new connection."""
+        return PROXY_TURNS * self.scheduling_delay
+
     def record_delay(self, delay: float) -> None:
         """Record a scheduling delay in seconds, and forget the ones outside the window."""
         self._samples.append(DelaySample(self.now, delay))
--- a/llm_router/emulator/oracle/traffic_record.py
+++ b/llm_router/emulator/oracle/traffic_record.py
@@ -40,11 +40,13 @@
     router: str
     idempotency: Idempotency
     deadline: float | None = None  # when its client gives up; None until its last byte was written
+    written_at: float = 0.0  # when its last byte was written
     disconnected_at: float | None = None
     answered: bool = False
     prefills: int = 0  # in flight
     decodes: int = 0  # in flight
     decodes_before_first_token: int = 0  # in flight: what is leased belongs to them
+    overlap_began_at: float | None = None  # since when two attempts are in flight
     may_have_run: bool = False  # at a decode endpoint
     leased: set[LeasedResource] = field(default_factory=set)
     lease_timer_started_at: float | None = None  # None while the release timeout does not run
--- a/llm_router/emulator/oracle/violations.py
+++ b/llm_router/emulator/oracle/violations.py
@@ -45,4 +45,5 @@
     def add(self, rule: Rule, subject: str, detail: str, began_at: float | None = None) -> None:
         """Record a violation that began at a time, now where none is given."""
         now = self._clock.now
+        detail = f"{detail} (scheduling delay {self._clock.scheduling_delay:.3f} s)"
         self.violations.append(Violation(rule, now, subject, detail, now if began_at is None else began_at))
--- a/llm_router/emulator/router_process.py
+++ b/llm_router/emulator/router_process.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import sys
 from collections import Counter, deque
+from collections.abc import Sequence
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -20,10 +23,14 @@
 from llm_router.emulator.http import message, read_message
 from llm_router.emulator.oracle import Oracle, Rule
 
+LISTEN_PORTS = (12_000, 32_000)  # below those that the kernel gives to outgoing connections
 START_TIMEOUT = 10.0  # seconds from a start until it must be ready
 READINESS_INTERVAL = 0.05  # seconds between two readiness probes
 READINESS_TIMEOUT = 1.0  # seconds that one readiness probe may take
-STOP_TIMEOUT = 8.7  # seconds from SIGTERM to SIGKILL: more than the longest deadline and 0.7 s
+COUNTED_DEADLINE = 3.0  # seconds that the longest deadline counts at most in the time up to SIGKILL
+STOP_GRACE = 0.7  # seconds after SIGTERM in which clients may still get a whole deadline
+STOP_TIMEOUT = COUNTED_DEADLINE + STOP_GRACE  # seconds from SIGTERM to SIGKILL, the page's earliest
+SERIES_INTERVAL = 0.02  # seconds between two signals of a series
 ACCEPTED_AFTER_TERM = 0.3  # seconds after SIGTERM for which clients open new connections
 DISCOVERY_OVERLAP = 1.5  # seconds after a reload for which the old discovery address still answers
 RECENT_LINES = 30  # of the log
@@ -40,11 +47,12 @@
 
 
 def free_port() -> int:
-    """Return a loopback port at which nobody listens."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Return a loopback port at which nobody listens, and that no outgoing connection is given."""
+    while True:
+        port = random.randrange(*LISTEN_PORTS)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 @dataclass(slots=True, frozen=True)
@@ -71,6 +79,7 @@
         self._file = spec.folder / f"{spec.name}.json"
         self._process: asyncio.subprocess.Process | None = None
         self._stopping = False
+        self.terminated_at: float | None = None  # when its process was sent SIGTERM
         self._recent_lines: deque[str] = deque(maxlen=RECENT_LINES)
         self._log_readable = asyncio.Event()  # cleared while nobody reads the log
         self._log_readable.set()
@@ -97,6 +106,7 @@
             await self.agent.start()
         self._write_configuration()
         self._stopping = False
+        self.terminated_at = None
         environment = {
             **os.environ,
             "EDGE_CONFIG": str(self._file),
@@ -115,19 +125,34 @@
         self._tasks.spawn(self._check_exit(process))
         await self._wait_until_ready()
 
-    async def stop(self) -> None:
-        """Stop it as at a planned restart, and kill it where it does not end in time."""
+    async def stop(self, series: Sequence[signal.Signals] = (signal.SIGTERM,)) -> None:
+        """Stop it by signals, one of them SIGTERM, as at a planned restart; kill it at the page's earliest.
+
+        Clients use the connections that stay open until then."""
         self._stopping = True
-        self.signal(signal.SIGTERM)
+        for number in series:
+            self.signal(number)
+            if number is signal.SIGTERM and self.terminated_at is None:
+                self.terminated_at = self._oracle.clock.now
+            await asyncio.sleep(SERIES_INTERVAL)
         await asyncio.sleep(ACCEPTED_AFTER_TERM)
         self.ready = False
+        remaining = STOP_TIMEOUT - (self._oracle.clock.now - (self.terminated_at or 0.0))
         try:
-            async with asyncio.timeout(STOP_TIMEOUT):
+            async with asyncio.timeout(remaining):
                 await self.process.wait()
         except TimeoutError:
-            self._report_crash("did not end")
             await self.kill()
 
+    def owes_answer_at_kill(self, written_at: float, deadline: float) -> bool:
+        """Return whether a request had to be answered before the SIGKILL of a planned restart.
+
+        One that came long after SIGTERM is lost; the time of the others must be over, as it counts."""
+        if self.terminated_at is None:
+            return False
+        came_late = written_at > self.terminated_at + STOP_GRACE
+        return came_late or deadline < self.terminated_at + STOP_TIMEOUT
+
     async def kill(self) -> None:
         """Kill it at once; endpoints free what it had leased."""
         self.ready = False
--- a/llm_router/emulator/soak/__main__.py
+++ b/llm_router/emulator/soak/__main__.py
@@ -28,7 +28,7 @@
 
 def print_result(seed: int, result: SoakResult) -> None:
     """Print what a soak found."""
-    print(f"seed {seed}: reservations={result.reservations} {dict(result.counts)}")
+    print(f"seed {seed}: {result.customer} {dict(result.counts)}")
     print(f"  log: {dict(result.log_events)}")
     for reported in result.violations:
         violation = reported.violation
--- a/llm_router/emulator/soak/endpoint_faults.py
+++ b/llm_router/emulator/soak/endpoint_faults.py
@@ -19,6 +19,13 @@
     SLOW_START_WINDOW,
 )
 
+SILENT_BEHAVIOURS = (  # what the endpoints of one kind do together
+    EndpointBehaviour.HANGING,
+    EndpointBehaviour.FROZEN,
+    EndpointBehaviour.MUTE,
+    EndpointBehaviour.TRUNCATING,
+)
+LOST_ANSWERS_FACTOR = 3.0  # of a fault's usual seconds: longer than a release used to be tried
 RESET_SHARE = 0.5  # of the partitions: those after which open connections are reset
 
 
@@ -40,6 +47,8 @@
             Fault("refuse", self._refuse_connections),
             Fault("reset", self._reset_connections),
             Fault("replace", self._replace),
+            Fault("lose answers", self._lose_answers),
+            Fault("misbehave together", self._misbehave_together),
         )
 
     async def _misbehave(self, seconds: float) -> str | None:
@@ -56,6 +65,22 @@
         self._fleet.mark_healthy(endpoint)
         return f"{endpoint.name} {behaviour.name}"
 
+    async def _misbehave_together(self, seconds: float) -> str | None:
+        """Let all endpoints of one kind that no fault hits fall silent in the same way for a time."""
+        kind = self._rng.choice(self._fleet.customer.endpoint_kinds)
+        endpoints = [
+            each for each in self._fleet.endpoints if each.kind == kind and not self._fleet.is_faulty(each)
+        ]
+        behaviour = self._rng.choice(SILENT_BEHAVIOURS)
+        for endpoint in endpoints:
+            self._fleet.mark_faulty(endpoint)
+            endpoint.set_behaviour(behaviour)
+        await asyncio.sleep(seconds)
+        for endpoint in endpoints:
+            endpoint.set_behaviour(EndpointBehaviour.NORMAL)
+            self._fleet.mark_healthy(endpoint)
+        return f"{kind} {behaviour.name}" if endpoints else None
+
     async def _partition(self, seconds: float) -> str | None:
         """Cut an endpoint off: nothing passes, and connections may be reset once it is back."""
         endpoint = self._fleet.draw_endpoint()
@@ -72,6 +97,22 @@
         self._fleet.mark_healthy(endpoint)
         return endpoint.name
 
+    async def _lose_answers(self, seconds: float) -> str | None:
+        """Hold up what all endpoints send, while what they are sent arrives."""
+        endpoints = self._fleet.endpoints
+        if any(self._fleet.is_faulty(endpoint) for endpoint in endpoints):
+            return None
+        for endpoint in endpoints:
+            self._fleet.mark_faulty(endpoint)
+            self._traffic.unreachable_until[endpoint.name] = float("inf")
+            endpoint.proxy.block_answers()
+        await asyncio.sleep(seconds * LOST_ANSWERS_FACTOR)
+        for endpoint in endpoints:
+            self._traffic.unreachable_until[endpoint.name] = self._clock.now
+            endpoint.proxy.heal()
+            self._fleet.mark_healthy(endpoint)
+        return "all endpoints"
+
     async def _refuse_connections(self, seconds: float) -> str | None:
         """Let an endpoint refuse new connections for a time."""
         endpoint = self._fleet.draw_endpoint()
--- a/llm_router/emulator/soak/fault_schedule.py
+++ b/llm_router/emulator/soak/fault_schedule.py
@@ -47,6 +47,11 @@
         fault = self._rng.choice(self._faults)
         self._tasks.spawn(self._inject(fault, self._rng.uniform(*DURATION)))
 
+    @property
+    def is_active(self) -> bool:
+        """Return whether a fault lasts."""
+        return any(fault.ended_at == float("inf") for fault in self._history)
+
     def cancel(self) -> None:
         """Cancel the faults that are not over."""
         self._tasks.cancel()
--- a/llm_router/emulator/soak/fleet.py
+++ b/llm_router/emulator/soak/fleet.py
@@ -14,10 +14,9 @@
 from llm_router.emulator.load_generator import LoadGenerator
 from llm_router.emulator.oracle import Oracle
 from llm_router.emulator.router_process import RouterProcess, RouterSpec
-from llm_router.emulator.soak.scenario import CLASSES, router_settings
+from llm_router.emulator.soak.scenario import CLASSES, Customer, router_settings
 
 ENDPOINTS_OF_KIND = 4
-RESERVATIONS_SHARE = 0.6  # of the soaks: those whose routers reserve decode capacity
 FAULT_PLANS: tuple[dict[str, Any], ...] = (  # of system calls that fail in a router
     {},
     {"calls": [{"call": "connect", "errors": ["EADDRNOTAVAIL", "ENOBUFS", "EAGAIN", "EINTR"], "one_in": 15}]},
@@ -41,13 +40,15 @@
 class Fleet:
     """The fleet of one soak, and which of its members a fault may hit at present."""
 
-    def __init__(self, size: FleetSize, rng: random.Random, oracle: Oracle, folder: Path) -> None:
+    def __init__(
+        self, size: FleetSize, customer: Customer, rng: random.Random, oracle: Oracle, folder: Path
+    ) -> None:
         self.size = size
+        self.customer = customer
         self.registry = EndpointRegistry(oracle.drains)
-        self.reservations = rng.random() < RESERVATIONS_SHARE
         self.routers: list[RouterProcess] = []
         for position in range(size.routers):
-            settings = router_settings(size.routers, position, self.reservations)
+            settings = router_settings(size.routers, position, customer)
             spec = RouterSpec(f"n{position}", settings, folder)
             self.routers.append(RouterProcess(oracle, self.registry, spec))
         self._oracle = oracle
@@ -61,13 +62,14 @@
 
     async def start(self) -> None:
         """Start endpoints and routers, then the clients."""
-        for kind in ("prefill", "decode"):
+        for kind in self.customer.endpoint_kinds:
             endpoints = [await self.add_endpoint(kind) for _ in range(ENDPOINTS_OF_KIND)]
             self._protected.add(endpoints[0])
             await self.registry.update(*(endpoint.entry() for endpoint in endpoints))
         for router in self.routers:
             self.draw_fault_plan(router)
         await asyncio.gather(*(router.start() for router in self.routers))
+        await asyncio.gather(*(load.gather_crowd(self.customer.crowd_size) for load in self._load))
         self._load_tasks = [asyncio.ensure_future(load.generate(self.size.rate)) for load in self._load]
 
     def stop_load(self) -> None:
@@ -103,6 +105,11 @@
         """Draw an endpoint that no fault hits, None where there is none; protected ones are left out."""
         return self._draw(endpoint for endpoint in self._endpoints if endpoint not in self._protected)
 
+    @property
+    def endpoints(self) -> tuple[EmulatedEndpoint, ...]:
+        """Return all endpoints that run."""
+        return tuple(self._endpoints)
+
     def draw_router(self) -> RouterProcess | None:
         """Draw a ready router that no fault hits, None where there is none."""
         return self._draw(router for router in self.routers if router.ready)
@@ -111,6 +118,10 @@
         """Let no further fault hit an endpoint or router."""
         self._faulty.add(target)
 
+    def is_faulty(self, target: Target) -> bool:
+        """Return whether a fault hits an endpoint or router."""
+        return target in self._faulty
+
     def mark_healthy(self, target: Target) -> None:
         """Let faults hit an endpoint or router again."""
         self._faulty.discard(target)
--- a/llm_router/emulator/soak/router_faults.py
+++ b/llm_router/emulator/soak/router_faults.py
@@ -11,6 +11,13 @@
 
 MAX_SUSPENSION = 0.14  # seconds: less than the slack of the oracle's checks
 RELOAD_COUNTS = (1, 1, 2)  # drawn evenly
+SIGNAL_SERIES = (  # sent with the SIGTERM of a restart, drawn evenly
+    (signal.SIGTERM,),
+    (signal.SIGHUP, signal.SIGTERM),
+    (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM),
+    (signal.SIGTERM, signal.SIGTERM),
+    (signal.SIGTERM, signal.SIGHUP),
+)
 
 
 class RouterFaults:
@@ -33,12 +40,12 @@
         )
 
     async def _restart(self, _seconds: float) -> str | None:
-        """Restart a router as planned, with other system calls that fail."""
+        """Restart a router as planned, by signals in series, with other system calls that fail."""
         router = self._fleet.draw_router()
         if router is None:
             return None
         self._fleet.mark_faulty(router)
-        await router.stop()
+        await router.stop(self._rng.choice(SIGNAL_SERIES))
         self._fleet.draw_fault_plan(router)
         await router.start()
         self._fleet.mark_healthy(router)
--- a/llm_router/emulator/soak/soak.py
+++ b/llm_router/emulator/soak/soak.py
@@ -15,9 +15,10 @@
 from llm_router.emulator.soak.fault_schedule import FaultSchedule
 from llm_router.emulator.soak.fleet import Fleet, FleetSize
 from llm_router.emulator.soak.router_faults import RouterFaults
-from llm_router.emulator.soak.scenario import DRAIN_GRACE, RELEASE_TIMEOUT
+from llm_router.emulator.soak.scenario import DRAIN_GRACE, Customer
 
-SETTLE_TIME = 8.0  # seconds for faults and requests to end once no new ones come
+SETTLE_TIME = 12.0  # seconds in which faults and requests must end once no new ones come
+MIN_SETTLE_TIME = 3.0  # seconds that are waited in any case: calls given up may arrive so late
 SETTLE_INTERVAL = 0.05  # seconds between two checks of leases meanwhile
 
 
@@ -33,7 +34,7 @@
 class SoakResult:
     """What one soak found."""
 
-    reservations: bool  # whether its routers reserve decode capacity
+    customer: Customer
     counts: Counter[str]  # of requests, attempts and answers
     log_events: Counter[str]  # of all routers' logs, by name
     violations: tuple[ReportedViolation, ...]
@@ -44,8 +45,9 @@
 
     def __init__(self, seed: int, size: FleetSize, folder: Path) -> None:
         rng = random.Random(seed)
-        self._oracle = Oracle(RELEASE_TIMEOUT, DRAIN_GRACE)
-        self._fleet = Fleet(size, rng, self._oracle, folder)
+        customer = Customer.draw(rng)
+        self._oracle = Oracle(customer.release_timeout, DRAIN_GRACE)
+        self._fleet = Fleet(size, customer, rng, self._oracle, folder)
         clock = self._oracle.clock
         faults = (
             *EndpointFaults(self._fleet, rng, clock, self._oracle.traffic).faults,
@@ -73,11 +75,18 @@
 
     async def _settle(self) -> None:
         """Let faults and requests end, and check leases meanwhile."""
-        end = self._oracle.clock.now + SETTLE_TIME
-        while self._oracle.clock.now < end:
+        clock = self._oracle.clock
+        earliest = clock.now + MIN_SETTLE_TIME
+        latest = clock.now + SETTLE_TIME
+        while clock.now < earliest or (clock.now < latest and not self._is_settled):
             await asyncio.sleep(SETTLE_INTERVAL)
             self._oracle.leases.check_all()
 
+    @property
+    def _is_settled(self) -> bool:
+        """Return whether no request is open and no fault lasts."""
+        return self._oracle.is_idle and not self._schedule.is_active
+
     def _result(self) -> SoakResult:
         violations = tuple(
             ReportedViolation(violation, self._schedule.describe_around(violation.began_at))
@@ -86,4 +95,4 @@
         log_events: Counter[str] = Counter()
         for router in self._fleet.routers:
             log_events += router.events
-        return SoakResult(self._fleet.reservations, self._oracle.traffic.counts, log_events, violations)
+        return SoakResult(self._fleet.customer, self._oracle.traffic.counts, log_events, violations)
