--- a/tests/emulator/test_release_without_answers.py
+++ b/tests/emulator/test_release_without_answers.py
@@ -102,6 +102,19 @@
     run(test())
 
 
+async def give_up_behind_a_cut(deployment, endpoint):
+    """Cut an endpoint off while it works on request `r1`, and let the client leave after a silence."""
+    endpoint.finish.clear()
+    _, writer = await deployment.router.connect()
+    writer.write(chat_request("r1", facts=FACTS))
+    await deployment.until_called(endpoint.name, "POST /v1/chat")
+    await deployment.record.wait_until(lambda: deployment.record.of("r1").has_attempt_in_flight)
+    endpoint.inbound.clear()
+    await asyncio.sleep(SILENCE)
+    writer.close()
+    await asyncio.sleep(CUT)
+
+
 @pytest.mark.parametrize("release_timeout", RELEASE_TIMEOUTS)
 def test_state_is_released_though_the_close_of_its_attempt_arrives_seconds_later(tmp_path, release_timeout):
     """An endpoint that is cut off learns late that its attempt was given up. Until then a release passes by
@@ -110,14 +123,7 @@
     async def test():
         settings = customer(release_timeout, reservations=False)
         async with gated_deployment(tmp_path, settings, ONE_OF_EACH) as deployment:
-            deployment["w1"].finish.clear()
-            _, writer = await deployment.router.connect()
-            writer.write(chat_request("r1", facts=FACTS))
-            await deployment.record.wait_until(lambda: deployment.record.of("r1").decodes)
-            deployment["w1"].inbound.clear()
-            await asyncio.sleep(SILENCE)
-            writer.close()
-            await asyncio.sleep(CUT)
+            await give_up_behind_a_cut(deployment, deployment["w1"])
             deployment["w1"].inbound.set()
             assert await deployment.record.final_violations() == []
 
@@ -132,14 +138,7 @@
     async def test():
         settings = customer(release_timeout, reservations=False)
         async with gated_deployment(tmp_path, settings, ONE_OF_EACH) as deployment:
-            deployment["r1"].finish.clear()
-            _, writer = await deployment.router.connect()
-            writer.write(chat_request("r1", facts=FACTS))
-            await deployment.record.wait_until(lambda: deployment.record.of("r1").prefills)
-            deployment["r1"].inbound.clear()
-            await asyncio.sleep(SILENCE)
-            writer.close()
-            await asyncio.sleep(CUT)
+            await give_up_behind_a_cut(deployment, deployment["r1"])
             deployment["r1"].finish.set()
             await deployment.until_leased("r1")
             assert await deployment.record.final_violations() == []
