Let endpoints fall silent together in the soak, and hold places while they do

Change: each silent behaviour is a fault of its own, of one kind of endpoints or of all; hanging and mute endpoints grant reservations; a tenth of the decode attempts queue for up to 1.5 s; the latency objective is drawn (0.3 or 1.5 s).

--- a/llm_router/emulator/endpoint.py
+++ b/llm_router/emulator/endpoint.py
@@ -18,6 +18,8 @@
 
 PREFILL_DURATION = (0.005, 0.06)  # seconds, drawn evenly
 FIRST_TOKEN_DELAY = (0.005, 0.05)  # seconds from the start of a decode attempt, drawn evenly
+QUEUEING_SHARE = 0.1  # of the decode attempts
+QUEUEING_DELAY = (0.2, 1.5)  # seconds that these wait, drawn evenly
 EVENT_COUNT = 6  # of an answer
 EVENT_INTERVAL = 0.02  # seconds between two events
 UNKNOWN_RESERVATION_DELAY = 0.3  # seconds after which a reservation with no prefill in flight is answered
@@ -47,6 +49,9 @@
     MUTE = auto()  # does all that is asked, and answers nothing
 
 
+GRANTING_BEHAVIOURS = (EndpointBehaviour.NORMAL, EndpointBehaviour.HANGING, EndpointBehaviour.MUTE)
+
+
 class EmulatedEndpoint:
     """One model server, which reports what it does to the oracle."""
 
@@ -163,8 +168,8 @@
     async def _reserve(self, request_id: str, writer: asyncio.StreamWriter) -> None:
         """Reserve capacity if some is free, and answer whether it is for a prefill in flight."""
         known = self._oracle.traffic.requests[request_id].prefills > 0
-        is_normal = self._behaviour is EndpointBehaviour.NORMAL
-        granted = is_normal and self._rng.random() < RESERVATION_GRANT_SHARE
+        may_grant = self._behaviour in GRANTING_BEHAVIOURS
+        granted = may_grant and self._rng.random() < RESERVATION_GRANT_SHARE
         if granted:
             self._oracle.leases.acquired(request_id, LeasedResource(ResourceKind.RESERVATION, self.name))
         if self._behaviour is EndpointBehaviour.HANGING:
@@ -258,7 +263,8 @@
         self._oracle.executions.decode_started(request_id, self.name)
         stream_began = False
         try:
-            completed = await self._work(FIRST_TOKEN_DELAY, reader)
+            queues = self._rng.random() < QUEUEING_SHARE
+            completed = await self._work(QUEUEING_DELAY if queues else FIRST_TOKEN_DELAY, reader)
             if not completed:
                 writer.close()
             elif self._behaviour is EndpointBehaviour.MUTE:
--- a/llm_router/emulator/soak/endpoint_faults.py
+++ b/llm_router/emulator/soak/endpoint_faults.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+from functools import partial
 
 from llm_router.emulator.endpoint import EndpointBehaviour
 from llm_router.emulator.oracle.oracle_clock import OracleClock
@@ -37,6 +38,7 @@
         self._rng = rng
         self._clock = clock
         self._traffic = traffic
+        self._kinds = fleet.customer.endpoint_kinds
 
     @property
     def faults(self) -> tuple[Fault, ...]:
@@ -48,7 +50,10 @@
             Fault("reset", self._reset_connections),
             Fault("replace", self._replace),
             Fault("lose answers", self._lose_answers),
-            Fault("misbehave together", self._misbehave_together),
+            *(
+                Fault(f"{behaviour.name.lower()} together", partial(self._misbehave_together, behaviour))
+                for behaviour in SILENT_BEHAVIOURS
+            ),
         )
 
     async def _misbehave(self, seconds: float) -> str | None:
@@ -65,13 +70,12 @@
         self._fleet.mark_healthy(endpoint)
         return f"{endpoint.name} {behaviour.name}"
 
-    async def _misbehave_together(self, seconds: float) -> str | None:
-        """Let all endpoints of one kind that no fault hits fall silent in the same way for a time."""
-        kind = self._rng.choice(self._fleet.customer.endpoint_kinds)
+    async def _misbehave_together(self, behaviour: EndpointBehaviour, seconds: float) -> str | None:
+        """Let all healthy endpoints of one kind, or of all kinds, fall silent in one way for a time."""
+        kinds = self._rng.choice([*((kind,) for kind in self._kinds), self._kinds])
         endpoints = [
-            each for each in self._fleet.endpoints if each.kind == kind and not self._fleet.is_faulty(each)
+            each for each in self._fleet.endpoints if each.kind in kinds and not self._fleet.is_faulty(each)
         ]
-        behaviour = self._rng.choice(SILENT_BEHAVIOURS)
         for endpoint in endpoints:
             self._fleet.mark_faulty(endpoint)
             endpoint.set_behaviour(behaviour)
@@ -79,7 +83,7 @@
         for endpoint in endpoints:
             endpoint.set_behaviour(EndpointBehaviour.NORMAL)
             self._fleet.mark_healthy(endpoint)
-        return f"{kind} {behaviour.name}" if endpoints else None
+        return " and ".join(kinds) if endpoints else None
 
     async def _partition(self, seconds: float) -> str | None:
         """Cut an endpoint off: nothing passes, and connections may be reset once it is back."""
--- a/llm_router/emulator/soak/scenario.py
+++ b/llm_router/emulator/soak/scenario.py
@@ -10,7 +10,7 @@
 
 SECOND = 1_000_000_000  # nanoseconds
 CLASSES = {"lookup": Idempotency.SAFE, "booking": Idempotency.NONE}
-LATENCY_OBJECTIVE = 0.3  # seconds: an endpoint counts as silent after some multiples of it
+LATENCY_OBJECTIVES = (0.3, 1.5)  # seconds: an endpoint counts as silent after some multiples of it
 DEADLINE = 9.0  # seconds: longer than a release used to be tried
 RELEASE_TIMEOUT = 0.3  # seconds
 DRAIN_GRACE = 1.0  # seconds
@@ -31,6 +31,7 @@
     """What differs between the customers of two soaks."""
 
     release_timeout: float = RELEASE_TIMEOUT  # seconds
+    latency_objective: float = LATENCY_OBJECTIVES[0]  # seconds
     reservations: bool = False
     append_prefill: bool = False
     crowd_size: int = 0
@@ -41,6 +42,7 @@
         is_usual = rng.random() < USUAL_CUSTOMER_SHARE
         return cls(
             RELEASE_TIMEOUT if is_usual else rng.choice(OTHER_RELEASE_TIMEOUTS),
+            rng.choice(LATENCY_OBJECTIVES),
             reservations=rng.random() < RESERVATIONS_SHARE,
             append_prefill=rng.random() < APPEND_PREFILL_SHARE,
             crowd_size=CROWD_SIZE if rng.random() < CROWD_SHARE else 0,
@@ -52,11 +54,11 @@
         return ("prefill", "mixed") if self.append_prefill else ("prefill", "decode")
 
 
-def class_settings(name: str, idempotency: Idempotency) -> dict[str, Any]:
+def class_settings(name: str, idempotency: Idempotency, latency_objective: float) -> dict[str, Any]:
     """Return the settings of one class of requests."""
     return {
         "name": name,
-        "target": int(LATENCY_OBJECTIVE * SECOND),
+        "target": int(latency_objective * SECOND),
         "hard_limit": int(DEADLINE * SECOND),
         "idempotency": idempotency.value,
     }
@@ -70,7 +72,10 @@
         "my_zone": "z",
         "balancers": router_count,
         "position": position,
-        "lanes": [class_settings(name, idempotency) for name, idempotency in CLASSES.items()],
+        "lanes": [
+            class_settings(name, idempotency, customer.latency_objective)
+            for name, idempotency in CLASSES.items()
+        ],
         "allowed": {
             "attempts_cap": 4,
             "cancel": True,
