--- a/tests/test_start_failure.py
+++ b/tests/test_start_failure.py
@@ -6,7 +6,8 @@
 import socket
 import sys
 
-from stand_ins import SETTINGS, run, within
+import pytest
+from stand_ins import SETTINGS, chat_request, router_with_endpoints, run, within
 
 
 def test_a_router_whose_address_is_taken_ends_with_one_line(tmp_path):
@@ -44,3 +45,17 @@
             assert process.returncode == 1
 
     run(test())
+
+
+@pytest.mark.parametrize("error", ["ENOMEM", "ENFILE", "ENOBUFS"])
+def test_a_router_starts_though_its_first_sockets_cannot_be_had(tmp_path, error):
+    """A shortage that passes ended the process: "start_failed ... Cannot allocate memory". The soak found it;
+    the listening socket was the only one whose creation was tried once."""
+
+    async def test():
+        plan = {"calls": [{"call": "socket", "errors": [error], "times": 3}]}
+        async with router_with_endpoints(tmp_path, plan=plan) as router:
+            status_line, _, _ = await router.exchange(chat_request())
+            assert status_line.split()[1] == "200"
+
+    run(test())
