Retry for three seconds the socket and the address that a router is to listen at

Cause: as the test before shows, one ENOMEM, ENFILE or ENOBUFS for the listening socket ended the process.

--- a/llm_router/transport/frontend_server.py
+++ b/llm_router/transport/frontend_server.py
@@ -17,7 +17,7 @@
     HttpServer,
     ServerLimits,
 )
-from llm_router.transport.listener import bind_listener
+from llm_router.transport.listener import open_listener
 from llm_router.transport.resource_limits import BodyMemoryBudget
 from llm_router.transport.responses import problem
 from llm_router.transport.shutdown import Shutdown, ShutdownPhase
@@ -67,9 +67,8 @@
 
     async def start(self) -> None:
         """Begin to accept clients; raise OSError where the address cannot be used."""
-        listener = bind_listener(*self._listen_address)
+        listener = await open_listener(*self._listen_address, BACKLOG)
         self.http_server.listener = listener
-        listener.listen(BACKLOG)
         # A flood must not take all descriptors at once: only a batch is accepted before the connections that
         # give way are gone.
         self.acceptor = Acceptor(listener, self.http_server, ACCEPT_BATCH_SIZE)
--- a/llm_router/transport/listener.py
+++ b/llm_router/transport/listener.py
@@ -5,9 +5,15 @@
 import asyncio
 import socket
 from collections import deque
+from datetime import timedelta
 
+from llm_router import log
+from llm_router.transport.clock import to_seconds
 from llm_router.transport.event_loop import input_since, select_count
-from llm_router.transport.resilient_socket import ResilientSocket
+from llm_router.transport.resilient_socket import LOCAL_ERRORS, ResilientSocket
+
+START_TIMEOUT = timedelta(seconds=3)  # for a socket and its address, which a process before may still use
+START_RETRY_INTERVAL = timedelta(milliseconds=50)
 
 
 class Listener(socket.socket):
@@ -62,10 +68,31 @@
         return self._accepted_at[0] if is_full else self._queue_since
 
 
-def bind_listener(host: str, port: int) -> Listener:
-    """Return a socket bound to an address, which does not listen yet."""
+async def open_listener(host: str, port: int, backlog: int) -> Listener:
+    """Return a socket that listens at an address, retrying what this machine may grant a moment later.
+
+    Raise OSError where the address cannot be used, or not within START_TIMEOUT."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + to_seconds(START_TIMEOUT)
+    while True:
+        try:
+            return _listen(host, port, backlog)
+        except OSError as error:
+            if error.errno not in LOCAL_ERRORS or loop.time() > end:
+                raise
+            log.emit_rate_limited("listen_failed", error=repr(error))
+        await asyncio.sleep(to_seconds(START_RETRY_INTERVAL))
+
+
+def _listen(host: str, port: int, backlog: int) -> Listener:
+    """Return a socket that listens at an address."""
     listener = Listener(socket.AF_INET6 if ":" in host else socket.AF_INET)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.setblocking(False)
-    listener.bind((host, port))
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind((host, port))
+        listener.listen(backlog)
+    except OSError:
+        listener.close()
+        raise
     return listener
