--- a/llm_router/emulator/soak/endpoint_faults.py
+++ b/llm_router/emulator/soak/endpoint_faults.py
@@ -72,7 +72,10 @@
 
     async def _misbehave_together(self, behaviour: EndpointBehaviour, seconds: float) -> str | None:
         """Let all healthy endpoints of one kind, or of all kinds, fall silent in one way for a time."""
-        kinds = self._rng.choice([*((kind,) for kind in self._kinds), self._kinds])
+        groups = [(kind,) for kind in self._kinds]
+        if behaviour is not EndpointBehaviour.FROZEN:  # some endpoint must read releases
+            groups.append(self._kinds)
+        kinds = self._rng.choice(groups)
         endpoints = [
             each for each in self._fleet.endpoints if each.kind in kinds and not self._fleet.is_faulty(each)
         ]
