--- a/llm_router/emulator/endpoint.py
+++ b/llm_router/emulator/endpoint.py
@@ -275,7 +275,7 @@
             else:
                 stream_began = True
                 self._oracle.executions.first_token_written(request_id)
-                await self._stream(writer)
+                await self._stream(reader, writer)
         finally:
             self._oracle.executions.decode_ended(request_id, stream_began)
 
@@ -284,13 +284,16 @@
         if self._slow_start is not None:
             self._slow_start.call_received(request_id)
 
-    async def _stream(self, writer: asyncio.StreamWriter) -> None:
-        """Write an answer's events, each with the time at which it was written, and its end."""
+    async def _stream(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Write an answer's events, each with the time of its writing, and its end, until it is given up."""
         writer.write(STREAM_HEAD)
         for _ in range(EVENT_COUNT):
             written_at = self._oracle.clock.now
             writer.write(chunk(b'data: {"by":"%s","at":%.6f}\n\n' % (self.name.encode(), written_at)))
             await asyncio.sleep(EVENT_INTERVAL)
+            if reader.at_eof() or reader.exception() is not None:
+                writer.close()
+                return
             if self._behaviour is EndpointBehaviour.RESETTING:
                 writer.transport.abort()
                 return
