--- a/tests/test_start_failure.py
+++ b/tests/test_start_failure.py
@@ -1,4 +1,4 @@
-"""A router that cannot start says so in one line, and ends."""
+"""A router that cannot start says so and ends; one that can start a moment later does."""
 
 import asyncio
 import json
