Count all client input against one memory budget of the process

Cause: memory was reserved by handlers, for bodies only. Everything that the parser or the input buffer kept before that had no limit in sum: incomplete heads and trailers, up to 32 parsed requests with their bodies, tiny chunks, the input quoted in errors, and a read of 256 KiB of each ready connection. The buffer also resumed reading after each answer although it was full.

Change: MemoryBudget counts heads, unparsed input, bodies and buffered responses for the whole process.

--- a/llm_router/configuration/schema.py
+++ b/llm_router/configuration/schema.py
@@ -14,6 +14,8 @@
 MAX_BODY_BYTES = 256 * 1024  # maximum size of a request body in both client protocols
 # The process uses 48 MB without open requests; the rest is a margin.
 BASELINE_MEMORY = 52 * MEGABYTE
+# With less, a few large requests at once would be rejected.
+MIN_PEER_MEMORY = 6 * MEGABYTE
 # Discovery, the log and rejected clients need no more sockets than this, even under a high socket limit.
 MAX_RESERVED_SOCKETS = 64
 
@@ -69,13 +71,12 @@
         return self.sockets - self.client_sockets - self.reserved_sockets
 
     @property
-    def body_memory(self) -> int:
-        """Maximum number of bytes of request bodies in memory.
+    def peer_memory(self) -> int:
+        """Maximum bytes of memory for the data that clients and endpoints send, with its copies.
 
-        Each body takes twice its size, because it is copied when it is sent to an endpoint."""
-        return max(
-            8 * MAX_BODY_BYTES, min(self.memory_bytes // 8, (self.memory_bytes - BASELINE_MEMORY) // 4)
-        )
+        The rest is for the objects of connections and requests, and for messages too small to be counted."""
+        available = min(self.memory_bytes // 2, self.memory_bytes - BASELINE_MEMORY)
+        return max(MIN_PEER_MEMORY, available * 3 // 4)
 
 
 @dataclass(slots=True, frozen=True)
--- a/llm_router/frontends/kserve/frontend.py
+++ b/llm_router/frontends/kserve/frontend.py
@@ -23,6 +23,7 @@
 from llm_router.routing.events import EndpointStatus
 from llm_router.routing.settings import Role
 from llm_router.transport.frontend_server import FrontendServer
+from llm_router.transport.memory_budget import MemoryBudget
 from llm_router.transport.pool import ConnectionPool
 from llm_router.transport.responses import request_target
 from llm_router.transport.runtime import Runtime
@@ -38,11 +39,11 @@
 class KServeFrontend:
     """The KServe v2 frontend of all models; the first endpoint list of a cluster adds its model."""
 
-    def __init__(self, config: RouterConfig, pool: ConnectionPool) -> None:
-        self.config, self.pool = config, pool
+    def __init__(self, config: RouterConfig, pool: ConnectionPool, memory: MemoryBudget) -> None:
+        self.config, self.pool, self._memory = config, pool, memory
         self.classes = {each.name: each for each in config.settings.classes}
         self.decoding_kinds = {kind.name for kind in config.settings.kinds if kind.role is not Role.PREFILL}
-        self.server = FrontendServer(config, self.handle, error_response)
+        self.server = FrontendServer(config, self.handle, error_response, memory)
         self.models: dict[str, Runtime] = {}
         self._request_numbers = count(1)
 
@@ -54,7 +55,7 @@
     def feed(self, model: str, endpoint_list: EndpointListReceived) -> None:
         """Pass a cluster's endpoint list to the model's runtime; create the runtime if the model is new."""
         if model not in self.models:
-            self.models[model] = Runtime(self.config, self.pool)
+            self.models[model] = Runtime(self.config, self.pool, self._memory)
         self.models[model].feed(endpoint_list)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -111,13 +112,10 @@
 
     async def _infer_within_memory(self, runtime: Runtime, request: web.BaseRequest) -> web.StreamResponse:
         """Run an inference, or reject it if its body exceeds the free memory for request bodies."""
-        size = self.server.body_size_bound(request)
-        if not self.server.body_memory.reserve(size):
-            return overloaded_response()
-        try:
+        with self.server.reserved_body(request) as is_reserved:
+            if not is_reserved:
+                return overloaded_response()
             return await self._infer(runtime, request)
-        finally:
-            self.server.body_memory.release(size)
 
     async def _infer(self, runtime: Runtime, request: web.BaseRequest) -> web.StreamResponse:
         """Read the body of an inference request, run the request and return its final answer."""
--- a/llm_router/frontends/platform/frontend.py
+++ b/llm_router/frontends/platform/frontend.py
@@ -12,6 +12,7 @@
 from llm_router.frontends.request_handling import InvalidRequestError, run_request, subtract_queueing_delay
 from llm_router.lifecycle.events import RequestReceived
 from llm_router.transport.frontend_server import FrontendServer
+from llm_router.transport.memory_budget import MemoryBudget
 from llm_router.transport.responses import plain_text_error
 from llm_router.transport.runtime import Runtime
 
@@ -19,10 +20,10 @@
 class PlatformFrontend:
     """The frontend for the platform's protocol; one runtime serves all classes of requests."""
 
-    def __init__(self, config: RouterConfig, runtime: Runtime) -> None:
+    def __init__(self, config: RouterConfig, runtime: Runtime, memory: MemoryBudget) -> None:
         self.config, self.runtime = config, runtime
         self.class_names = {each.name for each in config.settings.classes}
-        self.server = FrontendServer(config, self.handle, plain_text_error)
+        self.server = FrontendServer(config, self.handle, plain_text_error, memory)
 
     @property
     def runtimes(self) -> list[Runtime]:
@@ -41,13 +42,10 @@
             received = parse_request(request.headers, self.class_names)
         except InvalidRequestError as error:
             return plain_text_error(400, str(error), close=True)
-        size = self.server.body_size_bound(request)
-        if not self.server.body_memory.reserve(size):
-            return _overloaded()
-        try:
+        with self.server.reserved_body(request) as is_reserved:
+            if not is_reserved:
+                return _overloaded()
             return await self._chat(request, received)
-        finally:
-            self.server.body_memory.release(size)
 
     async def _chat(self, request: web.BaseRequest, received: RequestReceived) -> web.StreamResponse:
         """Read the body of a chat request, run the request and return its final answer."""
--- a/llm_router/service.py
+++ b/llm_router/service.py
@@ -24,6 +24,7 @@
 from llm_router.transport import signals
 from llm_router.transport.discovery import Discovery
 from llm_router.transport.frontend_server import FrontendServer
+from llm_router.transport.memory_budget import MemoryBudget
 from llm_router.transport.pool import DISCOVERY_SOCKETS, RELEASE_SOCKETS, ConnectionPool
 from llm_router.transport.runtime import Runtime
 from llm_router.transport.supervisor import Supervisor
@@ -75,7 +76,8 @@
     def __init__(self, config: RouterConfig, reload_config: Callable[[], RouterConfig]) -> None:
         self.config, self.reload_config = config, reload_config
         self.pool = ConnectionPool(config, config.limits.upstream_sockets, RELEASE_SOCKETS)
-        parts = build_parts(config, self.pool)
+        self.memory = MemoryBudget(config.limits.peer_memory)
+        parts = build_parts(config, self.pool, self.memory)
         self.frontend, self.endpoint_watch, self.pools = parts.frontend, parts.endpoint_watch, parts.pools
         self.watch_supervisor = Supervisor("watch", self.endpoint_watch.watch)
 
@@ -132,6 +134,7 @@
             return
         self._replace_watch(endpoint_watch)
         self.frontend.server.apply_limits(new.limits)
+        self.memory.resize(new.limits.peer_memory)
         self.pool.socket_budget.max_sockets = new.limits.upstream_sockets
         pending_changes = self.config.changes_requiring_restart(new)
         self.config = replace(self.config, **{name: getattr(new, name) for name in RELOADED_FIELDS})
@@ -144,21 +147,21 @@
         self.watch_supervisor = Supervisor("watch", endpoint_watch.watch)
 
 
-def build_parts(config: RouterConfig, pool: ConnectionPool) -> ServiceParts:
+def build_parts(config: RouterConfig, pool: ConnectionPool, memory: MemoryBudget) -> ServiceParts:
     """Return the parts for the protocol that the configuration selects.
 
     Raise ConfigurationError if the initial endpoint list is malformed."""
     if config.xds_files is not None:
-        return build_kserve(config, config.xds_files, pool)
+        return build_kserve(config, config.xds_files, pool, memory)
     assert config.discovery is not None, "a platform configuration has a discovery address"
-    return build_platform(config, config.discovery, pool)
+    return build_platform(config, config.discovery, pool, memory)
 
 
 def build_platform(
-    config: RouterConfig, discovery_address: HostAndPort, pool: ConnectionPool
+    config: RouterConfig, discovery_address: HostAndPort, pool: ConnectionPool, memory: MemoryBudget
 ) -> ServiceParts:
     """Return the parts of a service for the platform's protocol."""
-    runtime = Runtime(config, pool, reservation_path, LOAD_REPORT_PATH, parse_load_probe)
+    runtime = Runtime(config, pool, memory, reservation_path, LOAD_REPORT_PATH, parse_load_probe)
     # Discovery has its own sockets, so that requests cannot use up all of them and block list updates.
     discovery_pool = ConnectionPool(config, DISCOVERY_SOCKETS)
     discovery = Discovery(discovery_pool, str(discovery_address), read_list, runtime.feed)
@@ -167,12 +170,14 @@
             discovery.accept_list({**config.initial_endpoints, "snapshot": True})
         except ValueError as error:
             raise ConfigurationError(f"known: {error}") from None
-    return ServiceParts(PlatformFrontend(config, runtime), discovery, (pool, discovery_pool))
+    return ServiceParts(PlatformFrontend(config, runtime, memory), discovery, (pool, discovery_pool))
 
 
-def build_kserve(config: RouterConfig, files: XdsFiles, pool: ConnectionPool) -> ServiceParts:
+def build_kserve(
+    config: RouterConfig, files: XdsFiles, pool: ConnectionPool, memory: MemoryBudget
+) -> ServiceParts:
     """Return the parts of a service for KServe v2."""
-    frontend = KServeFrontend(config, pool)
+    frontend = KServeFrontend(config, pool, memory)
     watch = XdsFileWatch(files, frontend.feed)
     watch.load()
     return ServiceParts(frontend, watch, (pool,))
--- /dev/null
+++ b/llm_router/transport/client_input.py
@@ -0,0 +1,107 @@
+"""Measures and buffers the input of one client connection that waits to be parsed or answered."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from llm_router.transport.memory_budget import MemoryShare
+
+# Memory per byte of a request head: the parser keeps each header line as bytes and as text.
+HEAD_MEMORY_FACTOR = 3
+
+
+@dataclass(slots=True, frozen=True)
+class ReceivedPiece:
+    """Bytes from a client, and the earliest loop time at which they can have arrived."""
+
+    data: bytes
+    since: float
+
+
+class InputBuffer:
+    """The received bytes of one connection that cannot be parsed yet, in order."""
+
+    def __init__(self) -> None:
+        self._pieces: deque[ReceivedPiece] = deque()
+        self.size = 0  # bytes in the buffer
+
+    def __bool__(self) -> bool:
+        return bool(self._pieces)
+
+    def append(self, piece: ReceivedPiece) -> None:
+        """Add a piece behind all others."""
+        self._pieces.append(piece)
+        self.size += len(piece.data)
+
+    def put_back(self, piece: ReceivedPiece) -> None:
+        """Add a piece before all others."""
+        self._pieces.appendleft(piece)
+        self.size += len(piece.data)
+
+    def pop(self) -> ReceivedPiece:
+        """Remove and return the oldest piece."""
+        piece = self._pieces.popleft()
+        self.size -= len(piece.data)
+        return piece
+
+    def clear(self) -> None:
+        """Drop all pieces."""
+        self._pieces.clear()
+        self.size = 0
+
+
+class RequestHeads:
+    """The sizes in bytes of the request heads of one connection."""
+
+    def __init__(self) -> None:
+        # Bytes parsed since the last complete head or the last byte of a body.
+        # They belong to a head, or to the chunk framing or the trailer of a body.
+        self.incomplete = 0
+        self._unanswered: deque[int] = deque()
+        self.size = 0  # bytes of all heads together
+
+    def add(self, size: int) -> None:
+        """Add parsed bytes that completed nothing."""
+        self.incomplete += size
+        self.size += size
+
+    def complete(self) -> None:
+        """Record that the incomplete head is complete and waits for its answer."""
+        self._unanswered.append(self.incomplete)
+        self.incomplete = 0
+
+    def drop_incomplete(self) -> None:
+        """Forget the incomplete head."""
+        self.size -= self.incomplete
+        self.incomplete = 0
+
+    def drop_answered(self) -> None:
+        """Forget the oldest complete head, if there is one."""
+        if self._unanswered:
+            self.size -= self._unanswered.popleft()
+
+
+class ClientInput:
+    """The input that one connection holds, and its share of the memory for all connections' input."""
+
+    def __init__(self, share: MemoryShare, max_buffer_size: int) -> None:
+        self.buffer = InputBuffer()
+        self.heads = RequestHeads()
+        self._share = share
+        self._max_buffer_size = max_buffer_size
+
+    def fits_in_memory(self) -> bool:
+        """Update the connection's share of the memory, and return whether the connection may keep it."""
+        return self._share.resize(HEAD_MEMORY_FACTOR * self.heads.size + self.buffer.size)
+
+    def must_pause(self) -> bool:
+        """Return whether the connection must not receive more until buffered input has been parsed."""
+        fits = self.fits_in_memory()
+        return bool(self.buffer) and (not fits or self.buffer.size > self._max_buffer_size)
+
+    def release(self) -> None:
+        """Drop all input and give the memory back."""
+        self.buffer.clear()
+        self.heads = RequestHeads()
+        self._share.release()
--- a/llm_router/transport/event_loop.py
+++ b/llm_router/transport/event_loop.py
@@ -11,6 +11,9 @@
 # Time in seconds after which a `select` call counts as blocked.
 # The input that a blocked call reports has only just arrived.
 BLOCKED_THRESHOLD = 0.0005
+# Maximum bytes that one call receives from a connection.
+# All ready connections receive before any request is served, so this limits the memory of one iteration.
+RECEIVE_SIZE = 32 * 1024
 
 
 class TimedSelector(selectors.DefaultSelector):
@@ -61,3 +64,8 @@
 def select_count(loop: asyncio.AbstractEventLoop) -> int:
     """Return how often the loop has polled for input; 0 if it is not a `TimedEventLoop`."""
     return loop.selector.select_count if isinstance(loop, TimedEventLoop) else 0
+
+
+def limit_receive_size(transport: asyncio.BaseTransport) -> None:
+    """Limit the bytes that one call receives; this sets a private attribute of the pinned Python release."""
+    transport.max_size = RECEIVE_SIZE  # type: ignore[attr-defined]  # asyncio's selector transports have it
--- a/llm_router/transport/frontend_server.py
+++ b/llm_router/transport/frontend_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 from datetime import timedelta
 
 from aiohttp import web
@@ -18,7 +20,7 @@
     ServerLimits,
 )
 from llm_router.transport.listener import open_listener
-from llm_router.transport.resource_limits import BodyMemoryBudget
+from llm_router.transport.memory_budget import MemoryBudget, MemoryShare
 from llm_router.transport.responses import plain_text_error
 from llm_router.transport.shutdown import Shutdown, ShutdownPhase
 
@@ -29,7 +31,11 @@
 # Number of loop iterations to wait for a client disconnect.
 # The disconnect is read, the connection is marked as lost, and the handler is cancelled in these iterations.
 DISCONNECT_CHECK_TURNS = 4
-INPUT_BUFFER_DIVISOR = 4  # ratio of the memory for bodies to the memory for input buffers
+# Share of the memory for peers' data that request bodies may use, and that other client input may use.
+BODY_MEMORY_SHARE = 2 / 3
+INPUT_MEMORY_SHARE = 1 / 6
+BODY_COPIES = 2  # A body is copied when it is sent to an endpoint.
+SMALL_BODY_SIZE = 8 * 1024  # maximum bytes of a body that is read even if the memory for bodies is used up
 ACCEPT_BATCH_SIZE = 16  # maximum number of connections accepted in one loop iteration
 BACKLOG = 512  # maximum number of connections in the accept queue
 
@@ -37,14 +43,17 @@
 class FrontendServer:
     """An HTTP server that passes requests to the handler of one frontend.
 
-    `error_response(status, text, close=...)` returns an error in the format of the frontend's protocol."""
+    `error_response(status, text, close=...)` returns an error in the format of the frontend's protocol.
+    `memory` is the budget of the process for the data that peers send."""
 
-    def __init__(self, config: RouterConfig, handler: Handler, error_response: ErrorResponse) -> None:
+    def __init__(
+        self, config: RouterConfig, handler: Handler, error_response: ErrorResponse, memory: MemoryBudget
+    ) -> None:
         limits = config.limits
         self._listen_address = config.listen
         self._handler = handler
         self._error_response = error_response
-        self.body_memory = BodyMemoryBudget(limits.body_memory)
+        self._body_memory = memory.part(BODY_MEMORY_SHARE)
         self.open_requests = 0
         self.http_server = HttpServer(
             self.handle,
@@ -53,8 +62,8 @@
                 max_connections=limits.client_sockets,
                 max_rejected=limits.rejected_clients,
                 max_body_size=MAX_BODY_BYTES,
-                input_buffer_size=limits.body_memory // INPUT_BUFFER_DIVISOR,
             ),
+            memory.part(INPUT_MEMORY_SHARE),
         )
         self.acceptor: Acceptor | None = None
         self._shutdown = Shutdown(self.http_server, lambda: self.open_requests)
@@ -65,9 +74,8 @@
         return self._shutdown.phase is not ShutdownPhase.SERVING
 
     def apply_limits(self, limits: ResourceLimits) -> None:
-        """Apply new limits; open connections and reserved memory above them are left to end normally."""
+        """Apply new limits; open connections above them are left to end normally."""
         self.http_server.max_connections = limits.client_sockets
-        self.body_memory.resize(limits.body_memory)
 
     async def start(self) -> None:
         """Begin to accept clients; raise OSError if the address cannot be used."""
@@ -108,8 +116,20 @@
         for _ in range(DISCONNECT_CHECK_TURNS):
             await asyncio.sleep(0)
 
+    @contextmanager
+    def reserved_body(self, request: web.BaseRequest) -> Iterator[bool]:
+        """Reserve memory for a request's body during the block; yield False if there is too little."""
+        share = MemoryShare(self._body_memory, BODY_COPIES * SMALL_BODY_SIZE)
+        is_reserved = share.resize(BODY_COPIES * self._body_size_bound(request))
+        if not is_reserved:
+            share.release()
+        try:
+            yield is_reserved
+        finally:
+            share.release()
+
     @staticmethod
-    def body_size_bound(request: web.BaseRequest) -> int:
+    def _body_size_bound(request: web.BaseRequest) -> int:
         """Return the maximum size of a request's body in bytes; MAX_BODY_BYTES if its length is unknown."""
         if request.content_length is None:
             return MAX_BODY_BYTES if request.can_read_body else 0
--- a/llm_router/transport/http_server.py
+++ b/llm_router/transport/http_server.py
@@ -20,8 +20,8 @@
 from llm_router import log
 from llm_router.transport.client_connection import ClientConnection
 from llm_router.transport.clock import to_seconds
-from llm_router.transport.input_buffer import InputBudget
 from llm_router.transport.listener import Listener
+from llm_router.transport.memory_budget import MemoryBudget
 from llm_router.transport.rejected_connection import RejectedConnection, RejectedConnections
 
 # Client connections are closed after this time without a complete request head.
@@ -47,20 +47,26 @@
     max_connections: int
     max_rejected: int  # maximum number of open rejected connections
     max_body_size: int
-    input_buffer_size: int  # maximum size of the buffered input of all connections together
 
 
 class HttpServer(web.Server):
-    """An HTTP server that limits client connections and closes idle ones to accept new ones."""
+    """An HTTP server that limits client connections and closes idle ones to accept new ones.
 
-    def __init__(self, handler: Handler, error_response: ErrorResponse, limits: ServerLimits) -> None:
+    `input_memory` is the budget for input that waits to be parsed or answered."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        error_response: ErrorResponse,
+        limits: ServerLimits,
+        input_memory: MemoryBudget,
+    ) -> None:
         # Cancel a handler when its client disconnects, because the response is no longer needed.
         super().__init__(handler, request_factory=self._new_request, handler_cancellation=True)
         self._make_connection = functools.partial(
             ClientConnection,
             self,
             loop=self._loop,
-            auto_decompress=False,  # A small compressed body could expand past the limits.
             access_log=None,
             keepalive_timeout=to_seconds(KEEPALIVE_TIMEOUT),
             lingering_time=0,  # aiohttp would delay the end of the response until the body is read.
@@ -69,7 +75,7 @@
         self.error_response = error_response
         self.max_connections = limits.max_connections
         self.max_body_size = limits.max_body_size
-        self.input_budget = InputBudget(limits.input_buffer_size)
+        self.input_memory = input_memory
         self.draining = False
         self.lingering: OrderedDict[ClientConnection, None] = OrderedDict()
         self._rejected = RejectedConnections(limits.max_rejected)
--- a/llm_router/transport/pool.py
+++ b/llm_router/transport/pool.py
@@ -15,7 +15,7 @@
 
 from llm_router.configuration import RouterConfig
 from llm_router.transport.clock import to_seconds
-from llm_router.transport.resource_limits import SocketBudget, may_use_release_sockets
+from llm_router.transport.socket_budget import SocketBudget, may_use_release_sockets
 from llm_router.transport.upstream_connector import UpstreamConnector, disable_retries
 from llm_router.transport.write_hook import BeforeWrite, HookedClientRequest, before_write
 
--- a/llm_router/transport/response_relay.py
+++ b/llm_router/transport/response_relay.py
@@ -16,10 +16,11 @@
 from llm_router.transport.clock import to_seconds
 from llm_router.transport.errors import MalformedResponseError
 from llm_router.transport.frontend_protocol import BufferedSink, ResponseSink, StreamSink
-from llm_router.transport.resource_limits import BodyMemoryBudget
+from llm_router.transport.memory_budget import MemoryBudget, MemoryShare
 
 TAIL_SIZE = 2048  # bytes kept from the end of a stream, which contains token usage and the load report
 EVENT_TIMEOUT = timedelta(seconds=4.8)  # maximum time between two events; a client must not wait for 5 s
+BODY_COPIES = 2  # A buffered body is copied when it is complete.
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
 
 
@@ -65,7 +66,7 @@
 class ResponseRelay:
     """Relays responses to clients, as streams or buffered; buffered responses share a memory budget."""
 
-    def __init__(self, memory: BodyMemoryBudget, feed: Callable[[events.Event], None]) -> None:
+    def __init__(self, memory: MemoryBudget, feed: Callable[[events.Event], None]) -> None:
         self._memory = memory
         self._feed = feed
 
@@ -173,11 +174,12 @@
 
         The budget is needed because all response bodies together may be larger than the memory limit."""
         data = bytearray()
+        share = MemoryShare(self._memory)
+        sink.done.add_done_callback(lambda _: share.release())
         while piece := await response.content.readany():
-            if not self._memory.reserve(len(piece)):
-                self._memory.release(len(data))
+            data += piece
+            if not share.resize(BODY_COPIES * len(data)):
+                share.release()
                 log.emit_rate_limited("response_too_large", read=len(data))
                 return None
-            data += piece
-        sink.done.add_done_callback(lambda _: self._memory.release(len(data)))
         return bytes(data)
--- a/llm_router/transport/runtime.py
+++ b/llm_router/transport/runtime.py
@@ -23,10 +23,10 @@
 from llm_router.transport.clock import Clock, to_seconds
 from llm_router.transport.frontend_protocol import ProxiedRequest
 from llm_router.transport.load_prober import LoadProber
+from llm_router.transport.memory_budget import MemoryBudget
 from llm_router.transport.pool import ConnectionPool
 from llm_router.transport.release_client import ReleaseClient
 from llm_router.transport.reservation_client import ReservationClient
-from llm_router.transport.resource_limits import BodyMemoryBudget
 from llm_router.transport.response_relay import ResponseRelay
 from llm_router.transport.running_attempts import RunningAttempts
 
@@ -52,6 +52,7 @@
         self,
         config: RouterConfig,
         pool: ConnectionPool,
+        memory: MemoryBudget,
         reservation_path: Callable[[str], str | None] = no_reservation_path,
         load_path: str = "",
         read_report: Callable[[bytes], LoadReport] = no_report,
@@ -68,7 +69,7 @@
         self._queue: deque[events.Event] = deque()
         self._is_dispatching = False
         releases = ReleaseClient(pool, reservation_path, self._tasks, self.feed)
-        relay = ResponseRelay(BodyMemoryBudget(config.limits.body_memory), self.feed)
+        relay = ResponseRelay(memory, self.feed)
         lifecycle = LifecycleLink(self._check_attempt, self.feed)
         executor = AttemptExecutor(pool, self._clock, releases, relay, lifecycle)
         self._attempts = RunningAttempts(self._tasks, executor.execute, self.feed)
--- a/llm_router/transport/resource_limits.py
+++ b/llm_router/transport/socket_budget.py
@@ -1,4 +1,4 @@
-"""Limits the memory for request bodies and the number of sockets to endpoints."""
+"""Limits the number of sockets to endpoints."""
 
 from __future__ import annotations
 
@@ -18,30 +18,6 @@
 may_use_release_sockets: ContextVar[bool] = ContextVar("may_use_release_sockets", default=False)
 
 
-class BodyMemoryBudget:
-    """The memory budget for request bodies, in bytes; requests that would exceed it are rejected unread."""
-
-    def __init__(self, capacity: int) -> None:
-        self.capacity = capacity
-        self.available = capacity
-
-    def resize(self, capacity: int) -> None:
-        """Set a new capacity; `available` is negative while more memory than that is reserved."""
-        self.available += capacity - self.capacity
-        self.capacity = capacity
-
-    def reserve(self, size: int) -> bool:
-        """Reserve `size` bytes; return False and reserve nothing if fewer are available."""
-        if size > self.available:
-            return False
-        self.available -= size
-        return True
-
-    def release(self, size: int) -> None:
-        """Free `size` reserved bytes."""
-        self.available += size
-
-
 class SocketBudget:
     """A limit on open sockets to endpoints; `release_sockets` of them are reserved for release calls."""
 
--- a/tests/support/reducer_harness.py
+++ b/tests/support/reducer_harness.py
@@ -17,6 +17,7 @@
 from llm_router.routing.events import AttemptStatus, EndpointStatus
 from llm_router.routing.policy import RoutingPolicy
 from llm_router.routing.settings import ClassSettings, Idempotency, KindSettings, Role, Settings
+from llm_router.transport.memory_budget import MemoryBudget
 from llm_router.transport.pool import RELEASE_SOCKETS, ConnectionPool
 from llm_router.transport.runtime import Runtime
 
@@ -136,7 +137,10 @@
     addresses = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1"}
     config = platform_configuration({"name": "n", **addresses, "settings": PLATFORM_SETTINGS, **changes})
     runtime = Runtime(
-        config, ConnectionPool(config, config.limits.upstream_sockets, RELEASE_SOCKETS), reservation_path
+        config,
+        ConnectionPool(config, config.limits.upstream_sockets, RELEASE_SOCKETS),
+        MemoryBudget(config.limits.peer_memory),
+        reservation_path,
     )
     entries = [
         registry_entry("r1", prefill.address, "prefill"),
--- a/tests/transport/test_client_disconnect.py
+++ b/tests/transport/test_client_disconnect.py
@@ -13,12 +13,15 @@
 from llm_router.frontends.platform import PlatformFrontend
 from llm_router.lifecycle.events import RequestReceived
 from llm_router.transport.event_loop import TimedEventLoop
+from llm_router.transport.memory_budget import MemoryBudget
 
 
 async def requests_received(config, act):
     """Let a client act while the loop is busy, and return the requests that the lifecycle then receives."""
     events = []
-    frontend = PlatformFrontend(config, SimpleNamespace(proxied_requests={}, feed=events.append))
+    frontend = PlatformFrontend(
+        config, SimpleNamespace(proxied_requests={}, feed=events.append), MemoryBudget(1 << 20)
+    )
     await frontend.server.start()
     with socket.create_connection(config.listen) as client:
         while not frontend.server.http_server.connections:
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -8,6 +8,7 @@
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
 from llm_router.transport.http_server import HttpServer, ServerLimits
+from llm_router.transport.memory_budget import MemoryBudget
 from llm_router.transport.upstream_connection import UpstreamConnection
 from llm_router.transport.upstream_connector import UpstreamConnector, disable_retries
 
@@ -34,7 +35,7 @@
         session = aiohttp.ClientSession(connector=connector)
         assert session._retry_connection is True
         disable_retries(session)
-        server = HttpServer(None, None, ServerLimits(5, 5, 5, 5))
+        server = HttpServer(None, None, ServerLimits(5, 5, 5), MemoryBudget(5))
         assert server._connections == {} and server().all_answered
         await session.close()
 
--- a/tests/transport/test_discovery.py
+++ b/tests/transport/test_discovery.py
@@ -14,7 +14,7 @@
 from llm_router.service import RouterService
 from llm_router.transport.discovery import Discovery
 from llm_router.transport.pool import DISCOVERY_SOCKETS, ConnectionPool
-from llm_router.transport.resource_limits import may_use_release_sockets
+from llm_router.transport.socket_budget import may_use_release_sockets
 
 # Maximum time in seconds until a router has a change, from when discovery has it and can be reached.
 UPDATE_TIMEOUT = 6.0
--- a/tests/transport/test_frontend_server.py
+++ b/tests/transport/test_frontend_server.py
@@ -9,6 +9,7 @@
 
 from llm_router.frontends.kserve.responses import error_response
 from llm_router.transport.frontend_server import FrontendServer
+from llm_router.transport.memory_budget import MemoryBudget
 
 
 def test_an_internal_error_is_answered_in_the_format_of_the_frontend(configuration):
@@ -16,7 +17,7 @@
         raise RuntimeError("a fault")
 
     async def test():
-        answer = await FrontendServer(configuration(), fails, error_response).handle(None)
+        answer = await FrontendServer(configuration(), fails, error_response, MemoryBudget(5)).handle(None)
         assert answer.status == 500 and json.loads(answer.body)["error"]
 
     asyncio.run(test())
@@ -27,7 +28,10 @@
     monkeypatch.setattr("llm_router.transport.shutdown.ACCEPT_TIMEOUT", timedelta(seconds=9))
 
     async def test():
-        server, closed = FrontendServer(configuration(), None, error_response), asyncio.Event()
+        server, closed = (
+            FrontendServer(configuration(), None, error_response, MemoryBudget(5)),
+            asyncio.Event(),
+        )
         server.acceptor = SimpleNamespace(close=closed.set, drained=False, failing=False)
         stopping = asyncio.ensure_future(server.shut_down())
         await asyncio.sleep(0.03)
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -8,11 +8,13 @@
 from llm_router.transport.client_connection import ClientConnection
 from llm_router.transport.clock import to_seconds
 from llm_router.transport.http_server import NEW_CONNECTION_AGE, HttpServer, ServerLimits
+from llm_router.transport.memory_budget import MemoryBudget
 from llm_router.transport.rejected_connection import RejectedConnection
 
 
 def limits(max_connections, max_rejected=1, size=5):
-    return ServerLimits(max_connections, max_rejected, size, size)
+    """Return the limits of a server, and a memory budget of the same size as its bodies."""
+    return ServerLimits(max_connections, max_rejected, size), MemoryBudget(size)
 
 
 def test_each_connection_above_the_limit_closes_another_one():
@@ -30,7 +32,7 @@
             return None
 
     async def test():
-        server, transports = HttpServer(never, None, limits(3)), [Transport() for _ in range(3)]
+        server, transports = HttpServer(never, None, *limits(3)), [Transport() for _ in range(3)]
         for transport in transports:
             connection = server()
             connection.connection_made(transport)
@@ -53,7 +55,7 @@
     monkeypatch.setattr(ClientConnection, "is_idle", property(check))
 
     async def test():
-        server = HttpServer(None, None, limits(50))
+        server = HttpServer(None, None, *limits(50))
         for _ in range(50):
             connection = ClientConnection(server, loop=asyncio.get_running_loop())
             connection.transport, connection.idle_since = SimpleNamespace(close=lambda: None), 0.0
@@ -74,7 +76,7 @@
             await answer.wait()
             return web.Response(text="done")
 
-        server = HttpServer(handle, None, limits(5, 5, 500))
+        server = HttpServer(handle, None, *limits(5, 5, 500))
         listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
         reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
         writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -93,3 +95,27 @@
         listener.close()
 
     asyncio.run(test())
+
+
+# Guards against a request that stays unread behind a body whose handler was already running.
+def test_a_request_behind_a_body_that_comes_late_is_answered():
+    async def test():
+        started = asyncio.Event()
+
+        async def echo(request):
+            started.set()
+            return web.Response(body=await request.read())
+
+        server = HttpServer(echo, None, *limits(5, 5, 500))
+        listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n"
+        writer.write(head)
+        await asyncio.wait_for(started.wait(), 10)
+        writer.write(b"first" + head + b"later" + head + b"third")
+        for body in (b"first", b"later", b"third"):
+            assert (await asyncio.wait_for(reader.readuntil(body), 10)).startswith(b"HTTP/1.1 200 OK")
+        writer.close()
+        listener.close()
+
+    asyncio.run(test())
