Limit the size of answers to calls and of endpoint lists

An endpoint that answers a reservation, release or probe without an end, or discovery that sends a list without an end, takes the process over its memory limit within the time limit of the call.

Cause: ConnectionPool and Discovery read bodies with response.read(), which has no limit, and each ready connection received up to 256 KiB at once.

Change: read_body gives up at 256 KiB for calls and 4 MiB for lists, and frees what it has read; attempts use it for short bodies as well. One call of recv receives at most 32 KiB from an endpoint.

--- a/llm_router/transport/attempt_executor.py
+++ b/llm_router/transport/attempt_executor.py
@@ -25,6 +25,7 @@
 from llm_router.transport.frontend_protocol import ProxiedRequest, UpstreamRequest
 from llm_router.transport.pool import ConnectionPool, UpstreamCall
 from llm_router.transport.release_client import ReleaseClient
+from llm_router.transport.response_body import read_body
 from llm_router.transport.response_relay import ResponseRelay, log_malformed_response
 
 MAX_SHORT_BODY_SIZE = 64 * 1024  # maximum bytes in the body of a response that is not relayed
@@ -199,12 +200,7 @@
     @staticmethod
     async def _read_short_body(response: aiohttp.ClientResponse) -> bytes | None:
         """Return the body of a response that is not relayed, or None if it is not complete in time."""
-        data = b""
         with suppress(*SEND_ERRORS, RuntimeError):
             async with asyncio.timeout(to_seconds(SHORT_BODY_TIMEOUT)):
-                while len(data) <= MAX_SHORT_BODY_SIZE:
-                    piece = await response.content.readany()
-                    if not piece:
-                        return data
-                    data += piece
+                return await read_body(response, MAX_SHORT_BODY_SIZE)
         return None
--- a/llm_router/transport/discovery.py
+++ b/llm_router/transport/discovery.py
@@ -16,6 +16,7 @@
 from llm_router.lifecycle.events import EndpointListReceived
 from llm_router.transport.clock import elapsed_since, to_milliseconds, to_seconds
 from llm_router.transport.pool import ConnectionPool, UpstreamCall
+from llm_router.transport.response_body import read_body
 
 WATCH_TIMEOUT = timedelta(seconds=2.5)  # maximum time for which discovery may hold a watch call open
 # Time limit of a call, from connecting to the end of the response.
@@ -28,6 +29,7 @@
 # The delay grows with this duration so that a slow, overloaded discovery does not get more calls.
 HEDGE_MULTIPLE = 2
 MAX_LIST_CALLS = 3  # maximum number of concurrent calls for a full snapshot
+MAX_LIST_SIZE = 4 * 1024 * 1024  # maximum bytes of a list; 3,200 endpoints take about 1.5 MB when indented
 LIST_PATH = "/registry/instances"
 CALL_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
 
@@ -163,7 +165,7 @@
         reach the router within 6 s, even if one call fails and only the next one returns the change."""
         async with asyncio.timeout(to_seconds(timeout)):
             async with self._pool.request(UpstreamCall("GET", self._address, path)) as response:
-                body = await response.read()
+                body = await read_body(response, MAX_LIST_SIZE)
         if response.status != 200:
             raise ValueError(f"discovery answered with HTTP status {response.status}")
         return orjson.loads(body)
--- a/llm_router/transport/pool.py
+++ b/llm_router/transport/pool.py
@@ -15,10 +15,12 @@
 
 from llm_router.configuration import RouterConfig
 from llm_router.transport.clock import to_seconds
+from llm_router.transport.response_body import read_body
 from llm_router.transport.socket_budget import SocketBudget, may_use_release_sockets
 from llm_router.transport.upstream_connector import UpstreamConnector, disable_retries
 from llm_router.transport.write_hook import BeforeWrite, HookedClientRequest, before_write
 
+MAX_CALL_BODY_SIZE = 256 * 1024  # maximum bytes in the body of a response to a call
 READ_BUFFER_SIZE = 16 * 1024  # bytes buffered per response while its client reads slowly
 # Number of sockets for discovery: one for its watch, the others for new calls while broken connections close.
 DISCOVERY_SOCKETS = 4
@@ -137,7 +139,7 @@
         try:
             async with asyncio.timeout(to_seconds(timeout)):
                 async with self.request(call) as response:
-                    return CallResponse(response.status, await response.read())
+                    return CallResponse(response.status, await read_body(response, MAX_CALL_BODY_SIZE))
         except CALL_ERRORS:
             return None
 
--- a/llm_router/transport/upstream_connection.py
+++ b/llm_router/transport/upstream_connection.py
@@ -17,6 +17,7 @@
 from llm_router.transport.acknowledgement import reset_if_unacknowledged
 from llm_router.transport.clock import to_seconds
 from llm_router.transport.errors import MalformedResponseError, StaleConnectionError
+from llm_router.transport.event_loop import limit_receive_size
 
 MAX_HEAD_SIZE = 64 * 1024  # maximum bytes of a response head and all interim responses before it
 # Maximum time from the first byte of a response head to its end. Endpoints write a head in one piece.
@@ -54,6 +55,11 @@
         self._head_size = 0
         self._head_timer: asyncio.TimerHandle | None = None
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set up the connection."""
+        limit_receive_size(transport)
+        super().connection_made(transport)
+
     def set_response_params(self, **params: Any) -> None:  # noqa: ANN401  # the base class takes any type
         """Reset the state for the response to a request that is about to be written."""
         self._response_body = None
