Free a client connection with malformed input when it is closed

What callers saw: under floods of malformed input the memory of closed connections was kept until the next garbage collection; with 330 clients that sent noise the process held 159 MB.

Cause: aiohttp queues the parser's error with its traceback, whose frames refer to the connection and to the bytes received. That is a cycle, so each closed connection waited for the collector.

Change: the traceback is dropped when the error is queued.

Evidence: test_a_closed_connection_that_sent_malformed_input_is_freed_at_once failed before; a probe over 50 such connections counted 50 left over before and none now.

--- a/llm_router/transport/client_connection.py
+++ b/llm_router/transport/client_connection.py
@@ -214,6 +214,8 @@
         self._body = body
         self._body_size = 0
         if isinstance(message, _ErrInfo):
+            # Its frames would keep the connection and its input in memory until a garbage collection.
+            message.exc.__traceback__ = None
             # In the state OPEN, each further piece of input would count as another malformed request.
             self._stop_parsing()
             return
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -1,6 +1,7 @@
 """Checks which client connections are closed for new ones, and when a connection counts as idle."""
 
 import asyncio
+import gc
 from types import SimpleNamespace
 
 from aiohttp import web
@@ -10,6 +11,7 @@
 from llm_router.transport.http_server import NEW_CONNECTION_AGE, HttpServer, ServerLimits
 from llm_router.transport.memory_budget import MemoryBudget
 from llm_router.transport.rejected_connection import RejectedConnection
+from llm_router.transport.responses import plain_text_error
 
 
 def limits(max_connections, max_rejected=1, size=5):
@@ -119,3 +121,30 @@
         listener.close()
 
     asyncio.run(test())
+
+
+# Guards against closed connections whose input stays in memory until the next garbage collection.
+def test_a_closed_connection_that_sent_malformed_input_is_freed_at_once():
+    async def never(_request):
+        raise AssertionError("the handler must not be called")
+
+    async def test():
+        server = HttpServer(never, plain_text_error, *limits(5, 5, 500))
+        listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+        writer.write(b"\x80" * 1000)
+        assert (await asyncio.wait_for(reader.read(), 10)).startswith(b"HTTP/1.0 400")
+        writer.close()
+        while server.connections:
+            await asyncio.sleep(0)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        assert not [each for each in gc.get_objects() if isinstance(each, ClientConnection)]
+        listener.close()
+
+    gc.collect()
+    gc.disable()
+    try:
+        asyncio.run(test())
+    finally:
+        gc.enable()
