Give the memory of a buffered response back when it breaks off

Cause: _read_body reserved memory piece by piece, and gave it back only after a response that was read to its end or was too large.

Change: an error or a cancellation gives it back at once.

Evidence: test_a_response_that_breaks_off_gives_its_memory_back failed before for both ways to break off.

--- a/llm_router/transport/response_relay.py
+++ b/llm_router/transport/response_relay.py
@@ -175,11 +175,15 @@
         The budget is needed because all response bodies together may be larger than the memory limit."""
         data = bytearray()
         share = MemoryShare(self._memory)
+        try:
+            while piece := await response.content.readany():
+                data += piece
+                if not share.resize(BODY_COPIES * len(data)):
+                    share.release()
+                    log.emit_rate_limited("response_too_large", read=len(data))
+                    return None
+        except BaseException:
+            share.release()
+            raise
         sink.done.add_done_callback(lambda _: share.release())
-        while piece := await response.content.readany():
-            data += piece
-            if not share.resize(BODY_COPIES * len(data)):
-                share.release()
-                log.emit_rate_limited("response_too_large", read=len(data))
-                return None
         return bytes(data)
--- /dev/null
+++ b/tests/transport/test_response_memory.py
@@ -0,0 +1,61 @@
+"""Checks that the memory of buffered responses is given back, however a response ends."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from llm_router.transport.errors import MalformedResponseError
+from llm_router.transport.memory_budget import MemoryBudget, MemoryShare
+from llm_router.transport.response_relay import BODY_COPIES, ResponseRelay
+
+PIECE = b"x" * 1000
+
+
+def response(*pieces):
+    """Return a response whose reads return the pieces, or raise those that are errors."""
+    remaining = iter(pieces)
+
+    async def readany():
+        piece = next(remaining)
+        if isinstance(piece, BaseException):
+            raise piece
+        return piece
+
+    return SimpleNamespace(content=SimpleNamespace(readany=readany))
+
+
+def is_free(budget):
+    """Return whether all of a budget is available."""
+    share = MemoryShare(budget)
+    fits = share.resize(budget.capacity)
+    share.release()
+    return fits
+
+
+# Guards against memory that stays reserved for good after a response that breaks off.
+@pytest.mark.parametrize("error", [MalformedResponseError("cut off"), asyncio.CancelledError()])
+def test_a_response_that_breaks_off_gives_its_memory_back(error):
+    async def test():
+        budget = MemoryBudget(BODY_COPIES * 2 * len(PIECE))
+        sink = SimpleNamespace(done=asyncio.get_running_loop().create_future())
+        with pytest.raises(type(error)):
+            await ResponseRelay(budget, None)._read_body(response(PIECE, error), sink)
+        assert is_free(budget)
+
+    asyncio.run(test())
+
+
+def test_a_response_keeps_its_memory_until_the_final_answer_and_a_larger_one_is_dropped():
+    async def test():
+        budget = MemoryBudget(BODY_COPIES * 2 * len(PIECE))
+        relay = ResponseRelay(budget, None)
+        sink = SimpleNamespace(done=asyncio.get_running_loop().create_future())
+        assert await relay._read_body(response(PIECE, PIECE, b""), sink) == PIECE * 2
+        assert not is_free(budget)
+        assert await relay._read_body(response(PIECE, b""), sink) is None
+        sink.done.set_result(None)
+        await asyncio.sleep(0)
+        assert is_free(budget)
+
+    asyncio.run(test())
