Limit the tables that clients fill with session keys and prefixes

Clients choose session keys and prefixes of up to 256 characters, and the policy kept an entry of each for two minutes, whatever their number.

Cause: SessionAffinityTable, PrefixPopularity and the prefixes that an endpoint has cached were limited in time only.

Change: each keeps its 16,384 newest entries. A prefix whose counter was dropped while its request waits has a share of 0 (it was a KeyError).

--- a/llm_router/routing/prefill_estimates.py
+++ b/llm_router/routing/prefill_estimates.py
@@ -4,8 +4,8 @@
 
 from llm_router.routing.duration import SECOND
 from llm_router.routing.endpoint_state import CachedPrefix, EndpointState
-from llm_router.routing.session_affinity import IDLE_TIMEOUT
-from llm_router.routing.statistics import MovingAverage, drop_older_than
+from llm_router.routing.session_affinity import IDLE_TIMEOUT, MAX_ENTRIES
+from llm_router.routing.statistics import MovingAverage, drop_older_than, drop_oldest
 from llm_router.routing.tracked_request import TrackedRequest
 
 # The factor on the recorded peak prefill speed at each prefill, so that an outdated peak decays.
@@ -50,3 +50,4 @@
         endpoint.cached_prefixes.pop(prefix, None)
         endpoint.cached_prefixes[prefix] = CachedPrefix(now)
         drop_older_than(endpoint.cached_prefixes, now - IDLE_TIMEOUT)
+        drop_oldest(endpoint.cached_prefixes, MAX_ENTRIES)
--- a/llm_router/routing/prefix_popularity.py
+++ b/llm_router/routing/prefix_popularity.py
@@ -4,12 +4,14 @@
 
 from llm_router.routing.context import PolicyContext
 from llm_router.routing.duration import SECOND
-from llm_router.routing.statistics import DecayingCounter, drop_older_than
+from llm_router.routing.statistics import DecayingCounter, drop_older_than, drop_oldest
 
 # The nanoseconds over which requests are counted. The span equals the idle timeout of sessions.
 POPULARITY_SPAN = 120 * SECOND
 # This number is added to the count of all requests, so that the first requests make no prefix popular.
 PRIOR_REQUESTS = 10
+# Maximum number of counters. Clients choose the prefixes, so without a limit they could fill the memory.
+MAX_COUNTERS = 16_384
 ALL_REQUESTS = ""  # key of the counter for all requests
 
 
@@ -25,10 +27,14 @@
         for key in dict.fromkeys((ALL_REQUESTS, prefix or ALL_REQUESTS)):
             self.requests[key] = self.requests.pop(key, DecayingCounter(POPULARITY_SPAN))
             self.requests[key].add(self.context.now)
+        drop_oldest(self.requests, MAX_COUNTERS)
 
     def share(self, prefix: str) -> float:
-        """Return the share of recent requests that have this prefix, without counting the current request."""
-        earlier = max(0.0, self.requests[prefix].count - 1)
+        """Return the share of recent requests that have this prefix, without counting the current request.
+
+        It is 0 for a prefix whose counter was dropped."""
+        counter = self.requests.get(prefix)
+        earlier = max(0.0, counter.count - 1) if counter is not None else 0.0
         return earlier / (self.requests[ALL_REQUESTS].count + PRIOR_REQUESTS)
 
     def drop_idle(self) -> None:
--- a/llm_router/routing/session_affinity.py
+++ b/llm_router/routing/session_affinity.py
@@ -8,12 +8,14 @@
 from llm_router.routing.duration import SECOND
 from llm_router.routing.events import RequestReceived
 from llm_router.routing.settings import Role
-from llm_router.routing.statistics import drop_older_than
+from llm_router.routing.statistics import drop_older_than, drop_oldest
 
 if TYPE_CHECKING:
     from llm_router.routing.endpoint_state import EndpointState
     from llm_router.routing.tracked_request import TrackedRequest
 
+# Maximum number of entries. Clients choose the keys, so without a limit they could fill the memory.
+MAX_ENTRIES = 16_384
 IDLE_TIMEOUT = 120 * SECOND  # nanoseconds after which an endpoint has most likely evicted an idle session
 
 
@@ -44,6 +46,7 @@
         key = self._key(request.received)
         self.entries.pop(key, None)
         self.entries[key] = self._next_entry(request, decoded_by, now)
+        drop_oldest(self.entries, MAX_ENTRIES)
 
     def drop_idle(self, now: int) -> None:
         """Drop the entries without an answer in the last IDLE_TIMEOUT nanoseconds."""
--- a/llm_router/routing/statistics.py
+++ b/llm_router/routing/statistics.py
@@ -56,6 +56,14 @@
 Entry = TypeVar("Entry", bound=Timestamped)
 
 
+def drop_oldest(table: dict[str, Entry], max_entries: int) -> None:
+    """Remove the entries updated longest ago while there are more than `max_entries`.
+
+    The table must be ordered by update time."""
+    while len(table) > max_entries:
+        del table[next(iter(table))]
+
+
 def drop_older_than(table: dict[str, Entry], moment: int) -> None:
     """Remove the entries last updated before `moment`. The table must be ordered by update time."""
     while table:
