Move the handling of a client's input out of ClientConnection

What reads and limits input is LimitedRequestHandler now; states, idleness, errors and the close stay where they were. No behaviour was meant to change; the tests of connections, limits and disconnects passed.

--- a/llm_router/transport/client_connection.py
+++ b/llm_router/transport/client_connection.py
@@ -10,35 +10,17 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING, Any
 
-from aiohttp import StreamReader, web
-from aiohttp.http import HttpRequestParser
-from aiohttp.http_exceptions import BadHttpMessage
-from aiohttp.http_parser import RawRequestMessage
-from aiohttp.streams import EMPTY_PAYLOAD
-from aiohttp.web_protocol import RequestHandler, RequestPayloadError, _ErrInfo
+from aiohttp import web
 
 from llm_router import log
-from llm_router.transport.client_input import ClientInput, ReceivedPiece
 from llm_router.transport.clock import to_seconds
-from llm_router.transport.event_loop import input_since, limit_receive_size, select_count
-from llm_router.transport.memory_budget import MemoryShare
+from llm_router.transport.limited_request_handler import LimitedRequestHandler
 
 if TYPE_CHECKING:
     from llm_router.transport.http_server import HttpServer
 
 # Time limit for a client to read the last response and to close its side of the connection.
 LINGER_TIMEOUT = timedelta(seconds=5)
-# Number of input polls after the connection setup.
-# Bytes received in these polls are assumed to have arrived together with the connection.
-FIRST_INPUT_SELECTS = 2
-MAX_HEAD_SIZE = 32 * 1024  # maximum bytes of a request head, and of a request's trailer
-# Bytes that are parsed at once.
-# The parser holds back what follows a complete request, and repeats malformed input in its errors.
-PARSE_SIZE = 4 * 1024
-# Maximum number of requests that are parsed before their turn comes; the input after them stays unparsed.
-MAX_QUEUED_REQUESTS = 1
-# Bytes of input that each connection may hold while the memory for input is used up.
-INPUT_ALLOWANCE = 16 * 1024
 ERROR_TEXTS = {
     431: "the request head is too large",
     503: "the router is overloaded",
@@ -64,59 +46,24 @@
 }
 
 
-class ClientConnection(RequestHandler):
+class ClientConnection(LimitedRequestHandler):
     """A client connection that answers malformed input once and drops all input after it.
 
     Closing a socket that has unread input resets the connection, and the reset may discard the last response.
     So the router shuts down its sending side, waits until the client closes, and drops input meanwhile."""
 
     __slots__ = (
-        "_answered_requests",
-        "_body",
-        "_body_size",
-        "_buffers_input",
-        "_first_select_count",
-        "_head_arrivals",
-        "_input",
         "_linger_timer",
         "_state",
         "has_served",
         "idle_since",
-        "last_input_since",
-        "partial_head_since",
     )
 
-    _manager: HttpServer | None
-
     def __init__(self, manager: HttpServer, **settings: Any) -> None:  # noqa: ANN401  # aiohttp's settings
         super().__init__(manager, **settings)
-        self._max_msg_queue_size = MAX_QUEUED_REQUESTS
-        self._msg_queue_resume_size = 0
-        self._parser = HttpRequestParser(
-            self,
-            self._loop,
-            PARSE_SIZE,
-            payload_exception=RequestPayloadError,
-            auto_decompress=False,  # A small compressed body could expand past the limits.
-            max_msg_queue_size=MAX_QUEUED_REQUESTS,
-        )
         self._state = ConnectionState.OPEN
         self.has_served = False  # Whether any request on this connection was answered.
         self.idle_since = self._loop.time()  # time of the last response, or of the connection's start
-        # Earliest time at which the last received bytes can have arrived.
-        self.last_input_since = self.idle_since
-        # Time at which the first bytes of an incomplete request head were read.
-        self.partial_head_since: float | None = None
-        # Earliest arrival time of each queued request head, by the message's id().
-        self._head_arrivals: dict[int, float] = {}
-        self._first_select_count = 0
-        self._answered_requests = 0
-        self._buffers_input = False  # Whether aiohttp has paused reading.
-        self._input = ClientInput(
-            MemoryShare(manager.input_memory, INPUT_ALLOWANCE), 2 * manager.max_body_size
-        )
-        self._body: StreamReader = EMPTY_PAYLOAD  # body of the request that was parsed last
-        self._body_size = 0  # declared size of this body in bytes; 0 if it is not declared
         self._linger_timer: asyncio.TimerHandle | None = None
 
     def _enter(self, state: ConnectionState) -> None:
@@ -125,159 +72,9 @@
             raise RuntimeError(f"client connection: no transition from {self._state} to {state}")
         self._state = state
 
-    @property
-    def accepts_input(self) -> bool:
-        """Whether input from the client is processed rather than dropped."""
-        return self._state is ConnectionState.OPEN
-
-    @property
-    def all_answered(self) -> bool:
-        """Whether all requests that were read are answered.
-
-        This is False for a request that aiohttp has taken from its queue before its handler has begun."""
-        return self._request_count == self._answered_requests
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether no complete or partial request waits for a response."""
-        return self.all_answered and self.partial_head_since is None and not self._input.buffer
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Set up the connection, and record how long it may have waited to be accepted."""
-        limit_receive_size(transport)
-        super().connection_made(transport)
-        self._first_select_count = select_count(self._loop)
-        if self._manager is not None:
-            self.last_input_since = self._manager.waiting_since(transport)
-
-    def data_received(self, data: bytes) -> None:
-        """Process bytes that the event loop has received.
-
-        aiohttp calls this method without bytes to continue with what its parser holds back."""
-        if not self.accepts_input:
-            return
-        if not data:
-            self._parse_slice(data, self.last_input_since)
-            return
-        selects = select_count(self._loop) - self._first_select_count
-        is_first = not self._request_count and selects <= FIRST_INPUT_SELECTS
-        piece = ReceivedPiece(data, self.last_input_since if is_first else input_since(self._loop))
-        if self._buffers_input or self._input.buffer:
-            self._input.buffer.append(piece)
-        else:
-            self._parse(piece)
-        self._pause_or_resume_transport()
-
-    def _parse(self, piece: ReceivedPiece) -> None:
-        """Parse a piece of input in slices, and buffer what is left once aiohttp pauses reading."""
-        position = 0
-        while position < len(piece.data) and self.accepts_input:
-            if self._buffers_input:
-                self._input.buffer.put_back(ReceivedPiece(piece.data[position:], piece.since))
-                return
-            end = position + self._slice_size()
-            self._parse_slice(piece.data[position:end], piece.since)
-            position = end
-
-    def _slice_size(self) -> int:
-        """Return the number of bytes to parse at once; the rest of a body of known size is one slice."""
-        return max(PARSE_SIZE, self._body_size - self._body.total_bytes)
-
-    def _parse_slice(self, data: bytes, since: float) -> None:
-        """Parse some bytes, which can have arrived at the earliest at the loop time `since`."""
-        body, had_body = self._body, not self._body.is_eof()
-        self._feed_parser(data, since)
-        if had_body and body.is_eof() and not self._messages and self.accepts_input:
-            # The parser stops after each complete request, also after one whose handler is running.
-            self._feed_parser(b"", since)
-
-    def _feed_parser(self, data: bytes, since: float) -> None:
-        """Pass bytes to the parser, and record which of them belong to heads."""
-        requests_before, body_before = self._request_count, self._body.total_bytes
-        if data:
-            self.last_input_since = since
-        super().data_received(data)
-        self._input.heads.add(len(data))
-        if self._request_count > requests_before:
-            self._input.heads.complete()
-            self.partial_head_since = None
-            self._start_request()
-        elif self._body.total_bytes > body_before:
-            self._input.heads.drop_incomplete()
-        elif data and self.is_idle:
-            self.partial_head_since = self._loop.time()
-        self._check_heads()
-
-    def _start_request(self) -> None:
-        """Record the arrival and the body of the request whose head is complete."""
-        message, body = self._messages[-1]
-        self._body = body
-        self._body_size = 0
-        if isinstance(message, _ErrInfo):
-            # Its frames would keep the connection and its input in memory until a garbage collection.
-            message.exc.__traceback__ = None
-            # In the state OPEN, each further piece of input would count as another malformed request.
-            self._stop_parsing()
-            return
-        self._head_arrivals[id(message)] = self.last_input_since
-        self._body_size = _declared_size(message)
-
-    def _check_heads(self) -> None:
-        """Reject the input if an incomplete head is too large, or too large for the memory that is left."""
-        if not self.accepts_input:
-            return
-        if self._input.heads.incomplete > MAX_HEAD_SIZE:
-            self._reject_input(431, f"request head or trailer exceeds {MAX_HEAD_SIZE} bytes")
-        elif not self._input.fits_in_memory() and self._body.is_eof() and self._input.heads.incomplete:
-            self._reject_input(503, "no memory is left for a large request head")
-
-    def _reject_input(self, status: int, message: str) -> None:
-        """Answer an incomplete request with an error in its turn, and drop all further input."""
-        self._input.heads.drop_incomplete()
-        self._input.heads.complete()
-        self._request_count += 1
-        self._messages.append((_ErrInfo(status, BadHttpMessage(message), message), EMPTY_PAYLOAD))
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-        self._stop_parsing()
-
-    def _stop_parsing(self) -> None:
-        """Drop all further input, and free what the parser and the buffer hold."""
+    def on_input_rejected(self) -> None:
+        """Record that an error response is pending, after which the connection closes."""
         self._enter(ConnectionState.INPUT_REJECTED)
-        self._free_input()
-
-    def _free_input(self) -> None:
-        """Free the input that is not parsed completely."""
-        self._parser = None
-        self._input.buffer.clear()
-        self._input.heads.drop_incomplete()
-        self._input.fits_in_memory()
-
-    def pop_head_arrival(self, message: object) -> float:
-        """Remove and return the earliest arrival time of a request head."""
-        return self._head_arrivals.pop(id(message), self.last_input_since)
-
-    def _pause_transport_reading(self) -> None:
-        # The transport keeps reading into the buffer, because only reading detects a client disconnect.
-        self._buffers_input = True
-
-    def _resume_transport_reading(self) -> None:
-        if self._buffers_input:
-            self._buffers_input = False
-            self._loop.call_soon(self._parse_buffered)
-
-    def _parse_buffered(self) -> None:
-        """Parse buffered input until the buffer is empty or aiohttp pauses reading."""
-        while self._input.buffer and not self._buffers_input:
-            self._parse(self._input.buffer.pop())
-        self._pause_or_resume_transport()
-
-    def _pause_or_resume_transport(self) -> None:
-        """Let the transport receive more unless too much input is buffered."""
-        if self.accepts_input and self._input.must_pause():
-            super()._pause_transport_reading()
-        else:
-            super()._resume_transport_reading()
 
     def eof_received(self) -> None:
         """Abort the connection if the client closes its sending side with a request unanswered."""
@@ -315,8 +112,7 @@
         if not reset and not resp.keep_alive and self.transport is not None and self._manager:
             self.linger()
             await asyncio.sleep(to_seconds(LINGER_TIMEOUT))
-        self._input.heads.drop_answered()
-        self._input.fits_in_memory()
+        self.drop_answered_head()
         return resp, reset
 
     def force_close(self) -> None:
@@ -332,8 +128,7 @@
             return
         self._enter(ConnectionState.LINGERING)
         self._manager.lingering[self] = None
-        self._free_input()
-        super()._resume_transport_reading()
+        self.stop_input()
         with suppress(OSError, RuntimeError):
             self.transport.write_eof()
         self._linger_timer = self._loop.call_later(to_seconds(LINGER_TIMEOUT), self.force_close)
@@ -357,12 +152,4 @@
             self._linger_timer.cancel()
         if self._manager is not None:  # aiohttp sets it to None when the connection is lost.
             self._manager.lingering.pop(self, None)
-        self._input.release()
         super().connection_lost(exc)
-        self._body = EMPTY_PAYLOAD  # The body refers to this connection.
-        self._messages.clear()
-
-
-def _declared_size(message: RawRequestMessage) -> int:
-    """Return the size in bytes that a request declares for its body; 0 if it declares none."""
-    return int(message.headers.get("Content-Length", 0))
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -7,6 +7,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
+from llm_router.transport.event_loop import RECEIVE_SIZE
 from llm_router.transport.http_server import HttpServer, ServerLimits
 from llm_router.transport.memory_budget import MemoryBudget
 from llm_router.transport.upstream_connection import UpstreamConnection
@@ -20,7 +21,9 @@
 
 
 def test_the_private_parts_of_aiohttp_exist():
-    assert {"_request_count", "_messages"} <= set(RequestHandler.__slots__)
+    attributes = {"_request_count", "_messages", "_waiter", "_max_msg_queue_size", "_msg_queue_resume_size"}
+    assert attributes <= set(RequestHandler.__slots__)
+    assert asyncio.selector_events._SelectorSocketTransport.max_size > RECEIVE_SIZE
     assert hasattr(RequestHandler, "_resume_transport_reading")
     assert _ErrInfo(400, ValueError(), "x").status == 400
     assert hasattr(ResponseHandler, "set_response_params") and hasattr(ResponseHandler, "feed_data")
