Count the header lines of a request head, not its bytes alone

What callers saw: nothing; found by measuring what the parser keeps. A head of 100 short lines is 0.9 KB long and takes 18 to 21 KB of memory, one of long lines 1.7 to 2.1 times its length. It was counted as three times its length in both cases.

Change: a head counts twice its length and 200 bytes for each line.

--- a/llm_router/transport/client_input.py
+++ b/llm_router/transport/client_input.py
@@ -7,8 +7,9 @@
 
 from llm_router.transport.memory_budget import MemoryShare
 
-# Memory per byte of a request head: the parser keeps each header line as bytes and as text.
-HEAD_MEMORY_FACTOR = 3
+# Bytes of memory per byte of a request head: the parser keeps each header line as bytes and as text.
+HEAD_MEMORY_FACTOR = 2
+HEADER_LINE_MEMORY = 200  # bytes of memory for the objects of each header line
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,34 +53,37 @@
 
 
 class RequestHeads:
-    """The sizes in bytes of the request heads of one connection."""
+    """The memory in bytes that the request heads of one connection take."""
 
     def __init__(self) -> None:
         # Bytes parsed since the last complete head or the last byte of a body.
         # They belong to a head, or to the chunk framing or the trailer of a body.
-        self.incomplete = 0
+        self.incomplete_size = 0
+        self._incomplete_memory = 0
         self._unanswered: deque[int] = deque()
-        self.size = 0  # bytes of all heads together
+        self.memory = 0  # memory of all heads together
 
-    def add(self, size: int) -> None:
+    def add(self, data: bytes) -> None:
         """Add parsed bytes that completed nothing."""
-        self.incomplete += size
-        self.size += size
+        memory = HEAD_MEMORY_FACTOR * len(data) + HEADER_LINE_MEMORY * data.count(b"\n")
+        self.incomplete_size += len(data)
+        self._incomplete_memory += memory
+        self.memory += memory
 
     def complete(self) -> None:
         """Record that the incomplete head is complete and waits for its answer."""
-        self._unanswered.append(self.incomplete)
-        self.incomplete = 0
+        self._unanswered.append(self._incomplete_memory)
+        self.incomplete_size = self._incomplete_memory = 0
 
     def drop_incomplete(self) -> None:
         """Forget the incomplete head."""
-        self.size -= self.incomplete
-        self.incomplete = 0
+        self.memory -= self._incomplete_memory
+        self.incomplete_size = self._incomplete_memory = 0
 
     def drop_answered(self) -> None:
         """Forget the oldest complete head, if there is one."""
         if self._unanswered:
-            self.size -= self._unanswered.popleft()
+            self.memory -= self._unanswered.popleft()
 
 
 class ClientInput:
@@ -93,7 +97,7 @@
 
     def fits_in_memory(self) -> bool:
         """Update the connection's share of the memory, and return whether the connection may keep it."""
-        return self._share.resize(HEAD_MEMORY_FACTOR * self.heads.size + self.buffer.size)
+        return self._share.resize(self.heads.memory + self.buffer.size)
 
     def must_pause(self) -> bool:
         """Return whether the connection must not receive more until buffered input has been parsed."""
--- a/llm_router/transport/limited_request_handler.py
+++ b/llm_router/transport/limited_request_handler.py
@@ -155,7 +155,7 @@
         if data:
             self.last_input_since = since
         super().data_received(data)
-        self._input.heads.add(len(data))
+        self._input.heads.add(data)
         if self._request_count > requests_before:
             self._input.heads.complete()
             self.partial_head_since = None
@@ -184,9 +184,9 @@
         """Reject the input if an incomplete head is too large, or too large for the memory that is left."""
         if not self.accepts_input:
             return
-        if self._input.heads.incomplete > MAX_HEAD_SIZE:
+        if self._input.heads.incomplete_size > MAX_HEAD_SIZE:
             self._reject_input(431, f"request head or trailer exceeds {MAX_HEAD_SIZE} bytes")
-        elif not self._input.fits_in_memory() and self._body.is_eof() and self._input.heads.incomplete:
+        elif not self._input.fits_in_memory() and self._body.is_eof() and self._input.heads.incomplete_size:
             self._reject_input(503, "no memory is left for a large request head")
 
     def _reject_input(self, status: int, message: str) -> None:
