Free the body of an answered request without a garbage collection

What callers saw: 330 clients with valid requests of 250 KB each took a router with a limit of 96 MB to 150 MB within 5 s.

Cause: AcknowledgementTimer ran in the current context, which holds the hook of the request; the hook holds the timer and the body. Of 20 answered requests 11 bodies were left to the collector, which counts objects and not bytes.

Change: the timer runs in an empty context.

--- a/llm_router/transport/acknowledgement.py
+++ b/llm_router/transport/acknowledgement.py
@@ -9,6 +9,7 @@
 import termios
 from collections.abc import Callable
 from contextlib import suppress
+from contextvars import Context
 from datetime import timedelta
 
 from llm_router.transport.clock import to_seconds
@@ -62,7 +63,10 @@
         """Start the timer for a connection to which a request is being written."""
         if transport is None:
             return
-        self._timer = self._loop.call_later(to_seconds(ACKNOWLEDGEMENT_TIMEOUT), self._check, transport)
+        # The current context holds the request. In it the timer would keep the request's body in memory.
+        self._timer = self._loop.call_later(
+            to_seconds(ACKNOWLEDGEMENT_TIMEOUT), self._check, transport, context=Context()
+        )
 
     def _check(self, transport: asyncio.Transport) -> None:
         self._timer = None
--- a/tests/frontends/test_memory_floods.py
+++ b/tests/frontends/test_memory_floods.py
@@ -5,10 +5,11 @@
 import time
 
 import pytest
-from floods import FLOODS, MEGABYTE, MemoryWatch, flood
+from floods import FLOODS, LARGE_BODY, MEGABYTE, MemoryWatch, flood
 from stand_ins import chat_request, router_with_endpoints, run
 
 MEMORY_MB = 192
+SMALL_MEMORY_MB = 96
 CLIENTS = 150  # flooding clients, on one connection each
 USUAL_CLIENTS = 4
 SECONDS = 3.0  # duration of a flood
@@ -44,3 +45,23 @@
             assert not await program.stop_and_read_internal_errors()
 
     run(test())
+
+
+async def send_large_requests(program, end, numbers):
+    """Send valid requests with large bodies one after the other."""
+    while time.monotonic() < end:
+        await program.exchange(chat_request(id=f"large{next(numbers)}", body=LARGE_BODY))
+
+
+# Guards against bodies of answered requests that stay in memory until the next garbage collection.
+def test_large_requests_in_a_row_leave_the_router_within_a_small_memory_limit(tmp_path):
+    async def test():
+        limits = {"memory_mb": SMALL_MEMORY_MB, "sockets": 1024}
+        async with router_with_endpoints(tmp_path, limits=limits) as program:
+            end, numbers = time.monotonic() + SECONDS, itertools.count()
+            with MemoryWatch(program.process.pid).running() as memory:
+                await asyncio.gather(*(send_large_requests(program, end, numbers) for _ in range(CLIENTS)))
+            print(f"peak {memory.peak / MEGABYTE:.0f} MB, {next(numbers)} requests")
+            assert memory.peak < SMALL_MEMORY_MB * MEGABYTE
+
+    run(test())
--- a/tests/transport/test_acknowledgement.py
+++ b/tests/transport/test_acknowledgement.py
@@ -1,7 +1,10 @@
 """Tests of the detection of unacknowledged bytes, on real TCP connections."""
 
 import asyncio
+import gc
 import socket
+import weakref
+from contextvars import ContextVar, copy_context
 
 from stand_ins import run, within
 
@@ -104,3 +107,29 @@
         await pool.close()
 
     run(test())
+
+
+# Guards against request bodies that stay in memory until the next garbage collection.
+def test_a_stopped_timer_does_not_keep_the_request_that_its_context_holds():
+    class Request:
+        pass
+
+    hook = ContextVar("hook")
+
+    def send(loop):
+        request = Request()
+        timer = AcknowledgementTimer(loop, lambda: request)
+        hook.set(lambda: (timer, request))
+        timer.start(asyncio.Transport())
+        timer.stop()
+        return weakref.ref(request)
+
+    async def test():
+        sent = copy_context().run(send, asyncio.get_running_loop())
+        assert sent() is None
+
+    gc.disable()
+    try:
+        run(test())
+    finally:
+        gc.enable()
