--- a/llm_router/transport/event_loop.py
+++ b/llm_router/transport/event_loop.py
@@ -13,7 +13,7 @@
 BLOCKED_THRESHOLD = 0.0005
 # Maximum bytes that one call receives from a connection.
 # All ready connections receive before any request is served, so this limits the memory of one iteration.
-RECEIVE_SIZE = 32 * 1024
+RECEIVE_SIZE = 16 * 1024
 
 
 class TimedSelector(selectors.DefaultSelector):
