--- a/review/kit2.py
+++ b/review/kit2.py
@@ -218,6 +218,9 @@
     reading: dict[str, str] = field(default_factory=dict)
     states: dict[str, str] = field(default_factory=dict)
     was_read: set[str] = field(default_factory=set)
+    # The writer that holds a place for a request, and since when.
+    places: dict[str, tuple[str, float]] = field(default_factory=dict)
+    grants_places: bool = False
     # Called after the last chunk of a stream was written.
     after_stream: Callable[[str, asyncio.StreamWriter], Awaitable[None]] | None = None
 
@@ -230,6 +233,8 @@
         self.begun: list[tuple[float, str]] = []  # time and id of each attempt whose first byte came
         self.address = ""
         self.status = "Ready"
+        self.runs = asyncio.Event()  # While it is cleared, the instance hangs: it takes in no call.
+        self.runs.set()
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
 
@@ -263,6 +268,7 @@
         self._open.add(writer)
         try:
             while (call := await read_request(reader)) is not None:
+                await self.runs.wait()
                 await self._answer(call, reader, writer)
                 await writer.drain()
                 if writer.is_closing():
@@ -292,13 +298,19 @@
     def _release(self, request: str) -> None:
         self.world.record.add(self.name, f"release {request}")
         self.world.states.pop(request, None)
+        self.world.places.pop(request, None)
 
     async def _hold(self, request: str, writer: asyncio.StreamWriter) -> None:
         known = request in self.world.reading
-        self.world.record.add(self.name, f"hold {request}")
+        now = self.world.record.add(self.name, f"hold {request}")
+        if self.world.grants_places:
+            self.world.places[request] = (self.name, now)
+            self.world.record.add(self.name, f"holds a place for {request}")
         if not known:
             await asyncio.sleep(0.3)
-        writer.write(response("409 Conflict" if known else "204 No Content"))
+            writer.write(response("204 No Content"))
+        else:
+            writer.write(response("200 OK" if self.world.grants_places else "409 Conflict"))
 
     async def _attempt(
         self, call: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -336,6 +348,7 @@
 
     async def _write(self, request: str, writer: asyncio.StreamWriter) -> None:
         world, speed = self.world, self.world.speed
+        world.places.pop(request, None)
         if world.states.pop(request, None) is None:
             if request in world.was_read and self.kind == "decode":
                 world.record.add(self.name, f"no state for {request}")
