--- a/review/kit2.py
+++ b/review/kit2.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -221,6 +222,8 @@
     # The writer that holds a place for a request, and since when.
     places: dict[str, tuple[str, float]] = field(default_factory=dict)
     grants_places: bool = False
+    # The range of seconds to the first token, drawn evenly; None for the fixed time of `speed`.
+    first_token_range: tuple[float, float] | None = None
     # Called after the last chunk of a stream was written.
     after_stream: Callable[[str, asyncio.StreamWriter], Awaitable[None]] | None = None
 
@@ -232,7 +235,6 @@
         self.world, self.name, self.kind = world, name, kind
         self.begun: list[tuple[float, str]] = []  # time and id of each attempt whose first byte came
         self.address = ""
-        self.status = "Ready"
         self.runs = asyncio.Event()  # While it is cleared, the instance hangs: it takes in no call.
         self.runs.set()
         self._server: asyncio.Server | None = None
@@ -251,15 +253,15 @@
         for writer in self._open:
             writer.transport.abort()
 
-    def entry(self) -> dict[str, Any]:
-        """Return the entry in discovery's list."""
+    def entry(self, status: str) -> dict[str, Any]:
+        """Return the entry in discovery's list, with a status."""
         return {
             "name": self.name,
             "address": self.address,
             "zone": "bole-dc",
             "type": self.kind,
             "group": 1,
-            "status": self.status,
+            "status": status,
             "weight": 1.0,
             "since_ms": 0,
         }
@@ -355,7 +357,8 @@
                 writer.write(response("410 Gone", X_Unprocessed="1"))
                 return
             await asyncio.sleep(speed.read)
-        await asyncio.sleep(speed.first_token)
+        drawn = world.first_token_range
+        await asyncio.sleep(speed.first_token if drawn is None else random.uniform(*drawn))
         world.record.add(self.name, f"first token of {request}")
         writer.write(STREAM_HEAD + chunk(event(f"{request} 0")))
         for number in range(1, speed.tokens):
@@ -380,13 +383,15 @@
 class Agent:
     """Discovery's agent: it answers list calls and watches, each `delay` seconds late."""
 
-    def __init__(self, record: Record, instances: list[Instance]) -> None:
-        self.record, self.instances = record, instances
+    def __init__(self, record: Record, instances: list[Instance], name: str = "discovery") -> None:
+        self.record, self.instances, self.name = record, instances, name
         self.index = 41
         self.delay = 0.0
         self.address = ""
+        self._statuses = {each.name: "Ready" for each in instances}  # as far as this agent has heard
         self._changed = asyncio.Condition()
         self._versions = {each.name: self.index for each in instances}
+        self._open: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -398,33 +403,45 @@
     async def set_status(self, instance: Instance, status: str) -> float:
         """Change the status of an instance, and return the time of the change."""
         async with self._changed:
-            instance.status = status
+            self._statuses[instance.name] = status
             self.index += 1
             self._versions[instance.name] = self.index
             self._changed.notify_all()
-        return self.record.add("discovery", f"{instance.name} is {status}, version {self.index}")
+        return self.record.add(self.name, f"has heard that {instance.name} is {status}, version {self.index}")
+
+    def refuse(self) -> None:
+        """Accept no new connection."""
+        if self._server is not None:
+            self._server.close()
+
+    def close(self) -> None:
+        """Close the open connections."""
+        for writer in list(self._open):
+            writer.close()
 
     def known(self) -> dict[str, Any]:
         """Return the whole list."""
         return {
             "index": self.index,
             "snapshot": True,
-            "endpoints": [each.entry() for each in self.instances],
+            "endpoints": [each.entry(self._statuses[each.name]) for each in self.instances],
         }
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._open.add(writer)
         try:
             while (call := await read_request(reader)) is not None:
                 path = call.first.split(" ")[1]
-                self.record.add("discovery", f"call {path}")
+                self.record.add(self.name, f"call {path}")
                 answer = await self._answer(path)
                 await asyncio.sleep(self.delay)
-                self.record.add("discovery", f"answer to {path}: index {answer['index']}")
+                self.record.add(self.name, f"answer to {path}: index {answer['index']}")
                 writer.write(response("200 OK", json.dumps(answer).encode()))
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self._open.discard(writer)
             writer.close()
 
     async def _answer(self, path: str) -> dict[str, Any]:
@@ -436,7 +453,8 @@
             with suppress(TimeoutError):
                 async with asyncio.timeout(int(query["timeout_ms"]) / 1000):
                     await self._changed.wait_for(lambda: self.index > since)
-        changes = [each.entry() for each in self.instances if self._versions[each.name] > since]
+        changed = [each for each in self.instances if self._versions[each.name] > since]
+        changes = [each.entry(self._statuses[each.name]) for each in changed]
         return {"index": self.index, "snapshot": False, "endpoints": changes}
 
 
@@ -460,8 +478,8 @@
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
         self.process: asyncio.subprocess.Process | None = None
 
-    async def start(self) -> None:
-        """Start the process, and wait until it is ready."""
+    def write_configuration(self) -> None:
+        """Write the configuration file, or replace it."""
         configuration = {
             "name": "n0",
             "listen": self.address,
@@ -471,15 +489,20 @@
             "known": self.known,
             "settings": self.settings,
         }
-        file = self.folder / "config.json"
-        file.write_text(json.dumps(configuration))
+        new = self.folder / "config.new"
+        new.write_text(json.dumps(configuration))
+        new.rename(self.folder / "config.json")
+
+    async def start(self) -> None:
+        """Start the process, and wait until it is ready."""
+        self.write_configuration()
         command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         environment = {
             **os.environ,
             "EDGE_NAME": "n0",
             "EDGE_LISTEN": self.address,
             "EDGE_DISCOVERY": self.discovery,
-            "EDGE_CONFIG": str(file),
+            "EDGE_CONFIG": str(self.folder / "config.json"),
             "TMPDIR": str(self.folder),
         }
         with (self.folder / "log").open("ab") as log:
