--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,9 @@
-"""Case 6: a second answer that comes a few milliseconds late is given to the next caller."""
+"""Case 6: a request that comes whole over 0.7 s after SIGTERM is forwarded, and SIGKILL cuts its stream."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -10,46 +11,55 @@
 
 import kit2
 
-SESSIONS = 4
-TURNS = 6
-SHARE = 6  # one in so many answers has a second one behind it
-LATE = 0.005  # seconds from the end of an answer to the second answer directly behind it
-FACTS = "prefix=5c0f6e1a2b3d4c59,prompt_len=2000,prefix_len=1900,max_out=40"
-SECOND_ANSWER = kit2.STREAM_HEAD + kit2.chunk(kit2.event("nobody 0", "stop")) + kit2.LAST_CHUNK
+CLIENTS = 3
+TOKENS = 100  # in an answer, one every 60 ms as the settings want it
+BEGIN = 0.15  # seconds after SIGTERM at which clients begin to write, on connections that were open before
+PIECES = 8  # a client writes its request in so many pieces
+PAUSE = 0.15  # seconds between two pieces
+LONGEST_DEADLINE = 3.0  # seconds: the settings have longer ones, which count as 3 s
+STOP_TIME = LONGEST_DEADLINE + 0.7  # seconds from SIGTERM to SIGKILL
+LATE = 0.7  # seconds after SIGTERM from which a request that SIGKILL finds unanswered is lost
 
 
 async def play(parts: kit2.Deployment) -> bool:
-    """Let one client after another hold a conversation; some answers have a second one behind them."""
-    count = 0
-
-    async def after_stream(request: str, writer: asyncio.StreamWriter) -> None:
-        nonlocal count
-        count += 1
-        if kit2.TROUBLE and count % SHARE == 1:
-            await writer.drain()
-            await asyncio.sleep(LATE)
-            parts.record.add("instance", f"writes a second answer behind that of {request}")
-            writer.write(SECOND_ANSWER)
-
-    parts.world.after_stream = after_stream
+    """Let clients write slowly across a planned restart."""
     await parts.conductor.start()
-    answers = []
-    for session in range(SESSIONS):
-        connection = await kit2.Connection.open(parts.conductor.address)
-        for turn in range(TURNS):
-            request = f"c6-{session}-{turn}"
-            data = kit2.chat(request, session=f"{session:016x}", facts=FACTS)
-            answers.append(await connection.ask(parts.world, request, data))
-            if not answers[-1].whole:
-                connection.writer.close()
-                connection = await kit2.Connection.open(parts.conductor.address)
-        connection.writer.close()
-    broken = [each for each in answers if each.status == 200 and each.foreign]
-    for each in broken:
-        parts.record.add("check", f"{each.request} was served with what no instance made for it")
-    served = sum(each.status == 200 and each.whole and not each.foreign for each in answers)
-    parts.record.add("check", f"{served} of {len(answers)} served, {len(broken)} with foreign data")
-    return bool(broken)
-
-
-kit2.main(__file__, {"r1": "prefill", "w1": "decode"}, kit2.Speed(tokens=5, token=0.02), play)
+    connections = [await kit2.Connection.open(parts.conductor.address) for _ in range(CLIENTS)]
+    parts.world.speed.tokens = 3
+    requests = [f"c6-before-{number}" for number in range(CLIENTS)]
+    asked = zip(connections, requests, strict=True)
+    await asyncio.gather(*(each.ask(parts.world, name, kit2.chat(name)) for each, name in asked))
+    parts.world.speed.tokens = TOKENS
+    stopped = parts.conductor.signal(signal.SIGTERM) if kit2.TROUBLE else parts.record.now
+    written: dict[str, float] = {}
+
+    async def slow(number: int, connection: kit2.Connection) -> kit2.Answer:
+        request = f"c6-slow-{number}"
+        parts.world.sent.add(request)
+        await asyncio.sleep(stopped + BEGIN - parts.record.now)
+        data = kit2.chat(request, session=f"{number:016x}")
+        size = -(-len(data) // PIECES)
+        for at in range(0, len(data), size):
+            if at:
+                await asyncio.sleep(PAUSE)
+            connection.writer.write(data[at : at + size])
+            parts.record.add("client", f"writes bytes {at} to {min(at + size, len(data))} of {request}")
+        written[request] = parts.record.now
+        return await connection.receive(parts.world, request)
+
+    answers = [asyncio.create_task(slow(*each)) for each in enumerate(connections)]
+    if kit2.TROUBLE:
+        await asyncio.sleep(stopped + STOP_TIME - parts.record.now)
+        parts.conductor.signal(signal.SIGKILL)
+    lost = 0
+    for answer in await asyncio.gather(*answers):
+        is_late = written[answer.request] > stopped + LATE
+        is_answered = answer.status != 0 and answer.whole
+        if is_late and not is_answered and answer.status == 200:
+            lost += 1
+            parts.record.add("check", f"{answer.request} came whole after the 0.7 s, was taken and is lost")
+    parts.record.add("check", f"{lost} of {CLIENTS} lost")
+    return lost > 0
+
+
+kit2.main(__file__, {"r1": "prefill", "w1": "decode"}, kit2.Speed(), play)
