--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,53 +1,63 @@
-"""Case 10: a place that a writer holds once it runs again after a hang is never released."""
+"""Case 10: a client that sends much at once and goes; the conductor begins attempts for it all the same."""
 
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import struct
 import sys
+import termios
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 import kit2
 
-REQUESTS = 8
-HANG = 6.0  # seconds for which one of the two writers hangs
-RELEASE_WITHIN = 0.3 + 0.3  # seconds: the settings, and 300 ms more
-SLACK = 0.15  # seconds that a conductor may be held up
-WATCHED = 3.0  # seconds after the hang
+REQUESTS = 20  # requests that the client sends at once on its connection
+PROMPT = 7500  # tokens in each; a reader reads 15,000 a second, and four characters make a token
+FACTS = f"prompt_len={PROMPT},prefix_len=0,max_out=40"
+GONE = 0.1  # seconds after the close within which an attempt may still begin
+SLACK = 0.05 + 0.15  # seconds: the slack on sockets, and what a conductor may be held up
+ACCEPTED_WITHIN = 2.0  # seconds within which the conductor's machine has to accept all bytes
+WATCHED = 5.0  # seconds after the close
+
+
+def unaccepted(writer: asyncio.StreamWriter) -> int:
+    """Return how many of the written bytes the conductor's machine has not acknowledged."""
+    queued = fcntl.ioctl(writer.get_extra_info("socket").fileno(), termios.TIOCOUTQ, bytes(4))
+    return writer.transport.get_write_buffer_size() + struct.unpack("i", queued)[0]
 
 
 async def play(parts: kit2.Deployment) -> bool:
-    """Let a writer hang while requests are served, and look for places after it runs again."""
-    parts.world.grants_places = True
+    """Send many requests at once on one connection, and close it once all bytes are accepted."""
     await parts.conductor.start()
-    writer = parts.instances["w1"]
+    connection = await kit2.Connection.open(parts.conductor.address)
+    requests = [f"c10-{number}" for number in range(REQUESTS)]
+    parts.world.sent.update(requests)
+    data = b"".join(
+        kit2.chat(each, lane="shift-signup", left_ms=12_000, facts=FACTS, padding=4 * PROMPT)
+        for each in requests
+    )
+    connection.writer.write(data)
+    begun_at = parts.record.add("client", f"sends {REQUESTS} requests, {len(data)} bytes, at once")
+    while unaccepted(connection.writer):
+        if parts.record.now > begun_at + ACCEPTED_WITHIN:
+            raise RuntimeError("the conductor's machine does not accept all bytes")
+        await asyncio.sleep(0.005)
+    closed = parts.record.add("client", "all bytes are accepted")
     if kit2.TROUBLE:
-        writer.runs.clear()
-        parts.record.add(writer.name, "hangs")
-    began = parts.record.now
-
-    async def one(number: int) -> kit2.Answer:
-        request = f"c10-{number}"
-        await asyncio.sleep(0.2 * number)
-        connection = await kit2.Connection.open(parts.conductor.address)
-        answer = await connection.ask(parts.world, request, kit2.chat(request, session=f"{number:016x}"))
-        connection.writer.close()
-        return answer
-
-    answers = await asyncio.gather(*(one(number) for number in range(REQUESTS)))
-    await asyncio.sleep(max(0.0, began + HANG - parts.record.now))
-    writer.runs.set()
-    parts.record.add(writer.name, "runs")
+        connection.writer.transport.abort()
+        closed = parts.record.add("client", "closes its connection")
     await asyncio.sleep(WATCHED)
-    limit = parts.record.now - RELEASE_WITHIN - SLACK
-    pinned = {name: place for name, place in parts.world.places.items() if place[1] < limit}
-    for request, (name, since) in pinned.items():
-        age = parts.record.now - since
-        parts.record.add("check", f"{name} holds a place for {request} for {age:.2f} s, with no attempt out")
-    served = sum(each.status == 200 and each.whole for each in answers)
-    parts.record.add("check", f"{served} of {REQUESTS} served, {len(pinned)} places pinned")
-    return bool(pinned)
-
-
-kit2.main(__file__, {"r1": "prefill", "w1": "decode", "w2": "decode"}, kit2.Speed(tokens=5), play)
+    begun = [(at, request, each.name) for each in parts.instances.values() for at, request in each.begun]
+    late = sorted(each for each in begun if each[0] > closed + GONE + SLACK)
+    if not kit2.TROUBLE:
+        parts.record.add("check", f"the client stays: {len(begun)} attempts, none forbidden")
+        return False
+    for at, request, name in late:
+        parts.record.add("check", f"an attempt of {request} began at {name} {at - closed:.3f} s later")
+    parts.record.add("check", f"{len(begun)} attempts, {len(late)} of them over {GONE} s later")
+    return bool(late)
+
+
+kit2.main(__file__, {"r1": "prefill", "w1": "decode"}, kit2.Speed(read=PROMPT / 15_000), play)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Case 7: requests that were read are dropped without an answer in a shutdown."""
+"""Case 7: a request that comes whole over 0.7 s after SIGTERM is forwarded, and SIGKILL cuts its stream."""
 
 from __future__ import annotations
 
@@ -11,40 +11,55 @@
 
 import kit2
 
-CLIENTS = 4
-COMMANDS = 3  # requests that each client sends at once on its connection
-BEFORE_STOP = 0.3  # seconds from the requests to SIGTERM
-STOP_TIME = 3.0 + 0.7  # seconds from SIGTERM to SIGKILL: the settings have longer deadlines, counted as 3 s
+CLIENTS = 3
+TOKENS = 100  # in an answer, one every 60 ms as the settings want it
+BEGIN = 0.15  # seconds after SIGTERM at which clients begin to write, on connections that were open before
+PIECES = 8  # a client writes its request in so many pieces
+PAUSE = 0.15  # seconds between two pieces
+LONGEST_DEADLINE = 3.0  # seconds: the settings have longer ones, which count as 3 s
+STOP_TIME = LONGEST_DEADLINE + 0.7  # seconds from SIGTERM to SIGKILL
+LATE = 0.7  # seconds after SIGTERM from which a request that SIGKILL finds unanswered is lost
 
 
 async def play(parts: kit2.Deployment) -> bool:
-    """Let clients send several commands at once, and tell the conductor to end a moment later."""
+    """Let clients write slowly across a planned restart."""
     await parts.conductor.start()
+    connections = [await kit2.Connection.open(parts.conductor.address) for _ in range(CLIENTS)]
+    parts.world.speed.tokens = 3
+    requests = [f"c7-before-{number}" for number in range(CLIENTS)]
+    asked = zip(connections, requests, strict=True)
+    await asyncio.gather(*(each.ask(parts.world, name, kit2.chat(name)) for each, name in asked))
+    parts.world.speed.tokens = TOKENS
+    stopped = parts.conductor.signal(signal.SIGTERM) if kit2.TROUBLE else parts.record.now
+    written: dict[str, float] = {}
 
-    async def client(number: int) -> list[kit2.Answer]:
-        connection = await kit2.Connection.open(parts.conductor.address)
-        requests = [f"c7-{number}-{at}" for at in range(COMMANDS)]
-        parts.world.sent.update(requests)
-        connection.writer.write(b"".join(kit2.chat(each, session=f"{number:016x}") for each in requests))
-        parts.record.add("client", f"sends {requests} at once")
-        return [await connection.receive(parts.world, each) for each in requests]
+    async def slow(number: int, connection: kit2.Connection) -> kit2.Answer:
+        request = f"c7-slow-{number}"
+        parts.world.sent.add(request)
+        await asyncio.sleep(stopped + BEGIN - parts.record.now)
+        data = kit2.chat(request, session=f"{number:016x}")
+        size = -(-len(data) // PIECES)
+        for at in range(0, len(data), size):
+            if at:
+                await asyncio.sleep(PAUSE)
+            connection.writer.write(data[at : at + size])
+            parts.record.add("client", f"writes bytes {at} to {min(at + size, len(data))} of {request}")
+        written[request] = parts.record.now
+        return await connection.receive(parts.world, request)
 
-    clients = [asyncio.create_task(client(number)) for number in range(CLIENTS)]
-    await asyncio.sleep(BEFORE_STOP)
+    answers = [asyncio.create_task(slow(*each)) for each in enumerate(connections)]
     if kit2.TROUBLE:
-        parts.conductor.signal(signal.SIGTERM)
-        await asyncio.wait(clients, timeout=STOP_TIME)
+        await asyncio.sleep(stopped + STOP_TIME - parts.record.now)
         parts.conductor.signal(signal.SIGKILL)
-    answers = [answer for group in await asyncio.gather(*clients) for answer in group]
-    begun = {request for each in parts.instances.values() for _, request in each.begun}
-    lost = [each for each in answers if not each.status]
-    for each in lost:
-        sent = "sent on" if each.request in begun else "never sent on"
-        parts.record.add(
-            "check", f"{each.request} was taken {BEFORE_STOP} s before SIGTERM, {sent}, not answered"
-        )
-    parts.record.add("check", f"{len(lost)} of {len(answers)} lost")
-    return bool(lost)
-
-
-kit2.main(__file__, {"r1": "prefill", "w1": "decode"}, kit2.Speed(tokens=15), play)
+    lost = 0
+    for answer in await asyncio.gather(*answers):
+        is_late = written[answer.request] > stopped + LATE
+        is_answered = answer.status != 0 and answer.whole
+        if is_late and not is_answered and answer.status == 200:
+            lost += 1
+            parts.record.add("check", f"{answer.request} came whole after the 0.7 s, was taken and is lost")
+    parts.record.add("check", f"{lost} of {CLIENTS} lost")
+    return lost > 0
+
+
+kit2.main(__file__, {"r1": "prefill", "w1": "decode"}, kit2.Speed(), play)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,63 +1,69 @@
-"""Case 9: a client that sends much at once and goes; the conductor begins attempts for it all the same."""
+"""Case 9: after a new configuration, an older list makes a conductor forget that an instance drains."""
 
 from __future__ import annotations
 
 import asyncio
-import fcntl
-import struct
+import signal
 import sys
-import termios
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 import kit2
 
-REQUESTS = 20  # requests that the client sends at once on its connection
-PROMPT = 7500  # tokens in each; a reader reads 15,000 a second, and four characters make a token
-FACTS = f"prompt_len={PROMPT},prefix_len=0,max_out=40"
-GONE = 0.1  # seconds after the close within which an attempt may still begin
+QUIET = 3.0  # seconds of traffic before an instance begins to drain
+BEFORE_RELOAD = 1.5  # seconds from the change, which the conductor hears at once, to SIGHUP
+LAG = 3.5  # seconds from the SIGHUP to the moment in which the new address hears of the change
+OLD_CLOSES = 1.5  # seconds from SIGHUP until the old address closes its connections
+DRAIN_GRACE = 1.0  # seconds, from the settings
 SLACK = 0.05 + 0.15  # seconds: the slack on sockets, and what a conductor may be held up
-ACCEPTED_WITHIN = 2.0  # seconds within which the conductor's machine has to accept all bytes
-WATCHED = 5.0  # seconds after the close
-
-
-def unaccepted(writer: asyncio.StreamWriter) -> int:
-    """Return how many of the written bytes the conductor's machine has not acknowledged."""
-    queued = fcntl.ioctl(writer.get_extra_info("socket").fileno(), termios.TIOCOUTQ, bytes(4))
-    return writer.transport.get_write_buffer_size() + struct.unpack("i", queued)[0]
+INTERVAL = 0.1  # seconds between two requests
 
 
 async def play(parts: kit2.Deployment) -> bool:
-    """Send many requests at once on one connection, and close it once all bytes are accepted."""
+    """Send requests at a steady rate, let an instance drain, and move discovery soon after."""
+    record, drained = parts.record, parts.instances["m1"]
+    moved = kit2.Agent(record, list(parts.instances.values()), "discovery 2")
+    await moved.start()
     await parts.conductor.start()
-    connection = await kit2.Connection.open(parts.conductor.address)
-    requests = [f"c9-{number}" for number in range(REQUESTS)]
-    parts.world.sent.update(requests)
-    data = b"".join(
-        kit2.chat(each, lane="shift-signup", left_ms=12_000, facts=FACTS, padding=4 * PROMPT)
-        for each in requests
-    )
-    connection.writer.write(data)
-    begun_at = parts.record.add("client", f"sends {REQUESTS} requests, {len(data)} bytes, at once")
-    while unaccepted(connection.writer):
-        if parts.record.now > begun_at + ACCEPTED_WITHIN:
-            raise RuntimeError("the conductor's machine does not accept all bytes")
-        await asyncio.sleep(0.005)
-    closed = parts.record.add("client", "all bytes are accepted")
+    tasks: set[asyncio.Task[None]] = set()
+    count = 0
+
+    async def one(request: str) -> None:
+        connection = await kit2.Connection.open(parts.conductor.address)
+        await connection.ask(parts.world, request, kit2.chat(request, session=f"{count:016x}"))
+        connection.writer.close()
+
+    async def traffic(seconds: float) -> None:
+        nonlocal count
+        end = record.now + seconds
+        while record.now < end:
+            count += 1
+            task = asyncio.create_task(one(f"c9-{count}"))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            await asyncio.sleep(INTERVAL)
+
+    await traffic(QUIET)
+    told = await parts.agent.set_status(drained, "Terminating")
+    await traffic(BEFORE_RELOAD)
+    if kit2.TROUBLE:
+        parts.conductor.discovery = moved.address
+        parts.conductor.write_configuration()
+        parts.agent.refuse()
+        parts.conductor.signal(signal.SIGHUP)
+    await traffic(OLD_CLOSES)
     if kit2.TROUBLE:
-        connection.writer.transport.abort()
-        closed = parts.record.add("client", "closes its connection")
-    await asyncio.sleep(WATCHED)
-    begun = [(at, request, each.name) for each in parts.instances.values() for at, request in each.begun]
-    late = sorted(each for each in begun if each[0] > closed + GONE + SLACK)
-    if not kit2.TROUBLE:
-        parts.record.add("check", f"the client stays: {len(begun)} attempts, none forbidden")
-        return False
-    for at, request, name in late:
-        parts.record.add("check", f"an attempt of {request} began at {name} {at - closed:.3f} s later")
-    parts.record.add("check", f"{len(begun)} attempts, {len(late)} of them over {GONE} s later")
+        parts.agent.close()
+    await traffic(LAG - OLD_CLOSES)
+    await moved.set_status(drained, "Terminating")
+    await traffic(1.0)
+    if tasks:
+        await asyncio.wait(list(tasks))
+    late = [each for each in drained.begun if each[0] > told + DRAIN_GRACE + SLACK]
+    record.add("check", f"the conductor was told at {told:.3f} that {drained.name} drains")
+    record.add("check", f"{len(late)} attempts began there over {DRAIN_GRACE + SLACK} s later")
     return bool(late)
 
 
-kit2.main(__file__, {"r1": "prefill", "w1": "decode"}, kit2.Speed(read=PROMPT / 15_000), play)
+kit2.main(__file__, {"m1": "mixed", "m2": "mixed"}, kit2.Speed(tokens=5), play)
--- a/review/kit2.py
+++ b/review/kit2.py
@@ -8,7 +8,6 @@
 import asyncio
 import json
 import os
-import random
 import shutil
 import signal
 import socket
@@ -216,14 +215,10 @@
     record: Record
     speed: Speed = field(default_factory=Speed)
     sent: set[str] = field(default_factory=set)
+    sent_elsewhere: str = "-"  # the ids that clients in other processes send begin with this
     reading: dict[str, str] = field(default_factory=dict)
     states: dict[str, str] = field(default_factory=dict)
     was_read: set[str] = field(default_factory=set)
-    # The writer that holds a place for a request, and since when.
-    places: dict[str, tuple[str, float]] = field(default_factory=dict)
-    grants_places: bool = False
-    # The range of seconds to the first token, drawn evenly; None for the fixed time of `speed`.
-    first_token_range: tuple[float, float] | None = None
     # Called after the last chunk of a stream was written.
     after_stream: Callable[[str, asyncio.StreamWriter], Awaitable[None]] | None = None
 
@@ -235,8 +230,6 @@
         self.world, self.name, self.kind = world, name, kind
         self.begun: list[tuple[float, str]] = []  # time and id of each attempt whose first byte came
         self.address = ""
-        self.runs = asyncio.Event()  # While it is cleared, the instance hangs: it takes in no call.
-        self.runs.set()
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
 
@@ -270,7 +263,6 @@
         self._open.add(writer)
         try:
             while (call := await read_request(reader)) is not None:
-                await self.runs.wait()
                 await self._answer(call, reader, writer)
                 await writer.drain()
                 if writer.is_closing():
@@ -300,19 +292,13 @@
     def _release(self, request: str) -> None:
         self.world.record.add(self.name, f"release {request}")
         self.world.states.pop(request, None)
-        self.world.places.pop(request, None)
 
     async def _hold(self, request: str, writer: asyncio.StreamWriter) -> None:
         known = request in self.world.reading
-        now = self.world.record.add(self.name, f"hold {request}")
-        if self.world.grants_places:
-            self.world.places[request] = (self.name, now)
-            self.world.record.add(self.name, f"holds a place for {request}")
+        self.world.record.add(self.name, f"hold {request}")
         if not known:
             await asyncio.sleep(0.3)
-            writer.write(response("204 No Content"))
-        else:
-            writer.write(response("200 OK" if self.world.grants_places else "409 Conflict"))
+        writer.write(response("409 Conflict" if known else "204 No Content"))
 
     async def _attempt(
         self, call: Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -321,7 +307,7 @@
         left = call.headers.get("x-time-left-ms", "-")
         now = self.world.record.add(self.name, f"attempt {request} time left {left} ms")
         self.begun.append((now, request))
-        if request not in self.world.sent:
+        if request not in self.world.sent and not request.startswith(self.world.sent_elsewhere):
             writer.write(response("400 Bad Request" if request else "404 Not Found"))
             return
         if self.kind == "prefill":
@@ -350,15 +336,13 @@
 
     async def _write(self, request: str, writer: asyncio.StreamWriter) -> None:
         world, speed = self.world, self.world.speed
-        world.places.pop(request, None)
         if world.states.pop(request, None) is None:
             if request in world.was_read and self.kind == "decode":
                 world.record.add(self.name, f"no state for {request}")
                 writer.write(response("410 Gone", X_Unprocessed="1"))
                 return
             await asyncio.sleep(speed.read)
-        drawn = world.first_token_range
-        await asyncio.sleep(speed.first_token if drawn is None else random.uniform(*drawn))
+        await asyncio.sleep(speed.first_token)
         world.record.add(self.name, f"first token of {request}")
         writer.write(STREAM_HEAD + chunk(event(f"{request} 0")))
         for number in range(1, speed.tokens):
