--- a/review/loopback.py
+++ b/review/loopback.py
@@ -285,6 +285,7 @@
         self.folder = Path(tempfile.mkdtemp())
         self._known = discovery.snapshot()
         self._discovery, self._settings = discovery, values
+        self.limits: dict[str, float] = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
         self.process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
@@ -294,7 +295,7 @@
             "listen": f"127.0.0.1:{self.port}",
             "discovery": self._discovery.address,
             "seed": f"{random.getrandbits(64):016x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": self.limits,
             "known": self._known,
             "settings": self._settings,
         }
