--- a/review/10/case.py
+++ b/review/10/case.py
@@ -11,10 +11,10 @@
 
 import loopback
 
-SECONDS = 40.0  # how long the clients send
+SECONDS = 60.0  # how long the clients send
 CLIENTS = 30
 LEFT_MS = 1000  # how long a client waits for the first token
-SLOW_TIMES = (0.9, 1.1)  # seconds to the first token at the slow instance, uniform
+SLOW_TIMES = (0.9, 1.05)  # seconds to the first token at the slow instance, uniform
 
 
 class SlowInstance(loopback.Instance):
--- a/review/7/crowd.py
+++ b/review/7/crowd.py
@@ -1,4 +1,4 @@
-"""Clients that send requests at full speed, and again once their connection has ended, for case 6.
+"""Clients that send requests at full speed, and again once their connection has ended, for case 7.
 
 Arguments: the conductor's address, the number of clients, the characters of text in each request, and a word
 with which the ids of this process begin."""
--- a/review/loopback.py
+++ b/review/loopback.py
@@ -26,15 +26,18 @@
 LAST_EVENT = b"data: [DONE]\n\n"
 Head = tuple[str, dict[str, str]]
 _count = iter(range(1, 10**9))
+_taken: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a free loopback port outside the range of ephemeral ports."""
+    """Return a free loopback port, outside the range of ephemeral ports, that was not returned before."""
     while True:
         port = random.randrange(12_000, 32_000)
         with socket.socket() as probe, suppress(OSError):
             probe.bind(("127.0.0.1", port))
-            return port
+            if port not in _taken:
+                _taken.add(port)
+                return port
 
 
 def new_id() -> str:
