--- a/review/loopback.py
+++ b/review/loopback.py
@@ -407,7 +407,8 @@
             return await play(record)
 
     try:
-        breaks = asyncio.run(bounded())
+        with tempfile.TemporaryDirectory() as tempfile.tempdir:
+            breaks = asyncio.run(bounded())
     except (OSError, RuntimeError, TimeoutError) as error:
         record.add("could-not-run", error=repr(error))
         print(f"could not run: {error!r}")
