An error in one decision ends its own request alone, and loses no other answer

Cause: RoutingPolicy.handle, reducer.reduce and Runtime._dispatch recorded actions, effects and answers as done and lost them when a later step of the same event raised. PeriodicCheck counted itself as scheduled without a timer. The byte is one trigger; a load report of x1=1e308 or 1e300 is another (OverflowError in QueueingDelays.delay).

An error while a request is advanced ends that request (reason internal_error). DecisionError and EventError carry what was decided before the error, which is performed all the same; log event decision_failed.

--- a/llm_router/emulator/router_process.py
+++ b/llm_router/emulator/router_process.py
@@ -43,6 +43,7 @@
     "request_handler_failed",
     "relay_failed",
     "event_loop_error",
+    "decision_failed",
     "invariant_violated",
 )
 
--- a/llm_router/frontends/platform/client_request.py
+++ b/llm_router/frontends/platform/client_request.py
@@ -41,10 +41,8 @@
     prompt_tokens = _token_count(facts, "prompt_len")
     prefix_tokens = _token_count({"prefix_len": "0", **facts}, "prefix_len")
     max_output_tokens = _token_count(facts, "max_out")
-    session = headers.get(SESSION, "")
-    prefix = facts.get("prefix", "")
-    if max(len(session), len(prefix)) > MAX_KEY_LENGTH:
-        raise InvalidRequestError(f"{SESSION} and prefix: must have at most {MAX_KEY_LENGTH} characters")
+    session = _key(SESSION, headers.get(SESSION, ""))
+    prefix = _key(f"{FACTS}: prefix", facts.get("prefix", ""))
     retry = headers.get(RETRY)
     return RequestReceived(
         request_id=request_id,
@@ -52,8 +50,8 @@
         prompt_tokens=prompt_tokens,
         max_output_tokens=max_output_tokens,
         time_remaining=subtract_response_margin(time_remaining),
-        session=session or None,
-        prefix=prefix or None,
+        session=session,
+        prefix=prefix,
         prefix_tokens=prefix_tokens,
         is_retry=retry is not None and retry != RESUMED,
         resumed=retry == RESUMED,
@@ -86,6 +84,19 @@
     return int(value)
 
 
+def _key(name: str, value: str) -> str | None:
+    """Return a session or prefix key, or None for an empty one.
+
+    Bytes of a header that are not valid UTF-8 arrive here as lone surrogates, which no key may contain."""
+    if len(value) > MAX_KEY_LENGTH:
+        raise InvalidRequestError(f"{name}: must have at most {MAX_KEY_LENGTH} characters")
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        raise InvalidRequestError(f"{name}: must be valid UTF-8") from None
+    return value or None
+
+
 def _is_integer(text: str) -> bool:
     """Return whether a string is a whole number of at most `MAX_DIGITS` ASCII digits."""
     return text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
--- a/llm_router/frontends/platform/load_report.py
+++ b/llm_router/frontends/platform/load_report.py
@@ -3,21 +3,18 @@
 from __future__ import annotations
 
 from contextlib import suppress
-from math import isfinite
 
 from llm_router.load_gauges import report_from_gauges
 from llm_router.routing.events import LoadReport
 
 
 def parse_load_report(text: str) -> LoadReport:
-    """Return the load report; ignore a gauge whose value is not a finite number."""
+    """Return the load report; ignore a gauge whose value is not a number."""
     gauges: dict[str, float] = {}
     for gauge in text.split(","):
         name, _, value = gauge.strip().partition("=")
         with suppress(ValueError):
-            number = float(value)
-            if isfinite(number):
-                gauges[name] = number
+            gauges[name] = float(value)
     return report_from_gauges(gauges)
 
 
--- a/llm_router/frontends/request_handling.py
+++ b/llm_router/frontends/request_handling.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import replace
 from datetime import timedelta
 
@@ -37,13 +36,14 @@
 async def run_request(runtime: Runtime, request: ProxiedRequest) -> web.StreamResponse:
     """Pass a request to the lifecycle and return its final answer.
 
-    The server cancels this coroutine when the client disconnects."""
+    The server cancels this coroutine when the client disconnects. An internal error ends the request as well:
+    the server answers it, so the lifecycle must not."""
     request_id = request.received.request_id
     runtime.proxied_requests[request_id] = request
     try:
         runtime.feed(request.received)
         answer: web.StreamResponse = await request.sink.done
-    except asyncio.CancelledError:
+    except BaseException:
         runtime.feed(ClientDisconnected(request_id))
         raise
     finally:
--- a/llm_router/lifecycle/policy_actions.py
+++ b/llm_router/lifecycle/policy_actions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Generator, Iterable, Iterator
+from collections.abc import Callable, Generator, Iterable, Iterator, Sequence
 from datetime import timedelta
 from typing import Any
 
@@ -17,6 +17,7 @@
 from llm_router.lifecycle.units import to_nanoseconds, to_timedelta
 from llm_router.routing import actions as routing_actions
 from llm_router.routing import events as routing_events
+from llm_router.routing.errors import DecisionError
 from llm_router.routing.events import AttemptStatus
 from llm_router.routing.settings import Role
 
@@ -29,7 +30,8 @@
     An attempt that cannot be opened ends at once, and its end is fed to the policy as another event."""
     pending: deque[routing_events.Event] = deque([event])
     while pending:
-        for action in state.policy.handle(to_nanoseconds(now), pending.popleft()):
+        actions = yield from _decide(state, now, pending.popleft())
+        for action in actions:
             if isinstance(action, routing_actions.StartAttempt):
                 ended = yield from _start_attempt(state, now, action)
                 if ended is not None:
@@ -38,6 +40,18 @@
                 yield from handler(state, now, action)
 
 
+def _decide(
+    state: RouterState, now: timedelta, event: routing_events.Event
+) -> Generator[effects.Effect, None, Sequence[routing_actions.Action]]:
+    """Return the policy's actions for an event; log an internal error of a decision."""
+    try:
+        return state.policy.handle(to_nanoseconds(now), event)
+    except DecisionError as failure:
+        fields: dict[str, object] = {"decision": type(event).__name__, "error": repr(failure.__cause__)}
+        yield effects.LogEvent("decision_failed", fields, rate_limited=True)
+        return failure.actions
+
+
 def _start_attempt(
     state: RouterState, now: timedelta, action: routing_actions.StartAttempt
 ) -> Generator[effects.Effect, None, routing_events.AttemptEnded | None]:
--- a/llm_router/lifecycle/reducer.py
+++ b/llm_router/lifecycle/reducer.py
@@ -14,6 +14,7 @@
     on_response_started,
 )
 from llm_router.lifecycle.endpoint_events import on_endpoint_list_received, on_load_report_received
+from llm_router.lifecycle.errors import EventError
 from llm_router.lifecycle.request_events import on_client_disconnected, on_request_received
 from llm_router.lifecycle.reservation_events import on_release_call_ended, on_reservation_ended
 from llm_router.lifecycle.state import RouterState as RouterState  # re-exported for the callers of `reduce`
@@ -35,5 +36,14 @@
 
 
 def reduce(state: RouterState, now: timedelta, event: events.Event) -> list[effects.Effect]:
-    """Apply one event to the state, and return the effects to perform, in order."""
-    return list(HANDLERS[type(event)](state, now, event))
+    """Apply one event to the state, and return the effects to perform, in order.
+
+    Raise EventError after an internal error; its effects must be performed as well."""
+    resulting: list[effects.Effect] = []
+    try:
+        # A comprehension or `extend` would lose the effects before an error.
+        for effect in HANDLERS[type(event)](state, now, event):
+            resulting.append(effect)  # noqa: PERF402
+    except Exception as error:
+        raise EventError(resulting) from error
+    return resulting
--- a/llm_router/routing/actions.py
+++ b/llm_router/routing/actions.py
@@ -56,6 +56,8 @@
     NO_ENDPOINT_IN_TIME = "no_endpoint_in_time"
     # The expected wait in the endpoints' queues would make the request late.
     QUEUEING_DELAY = "queueing_delay"
+    # A decision about the request failed with an internal error.
+    INTERNAL_ERROR = "internal_error"
 
 
 @dataclass(slots=True, frozen=True)
--- a/llm_router/routing/attempt_dispatch.py
+++ b/llm_router/routing/attempt_dispatch.py
@@ -52,11 +52,11 @@
         """Send the request to an endpoint unless its status, the retry policy or slow start forbids it."""
         if not self._is_allowed(request, endpoint, is_prefill):
             return False
-        self._open_attempt(request, endpoint, is_prefill)
-        self.send_rates.record(endpoint, is_prefill=is_prefill)
         write_deadline = None if is_prefill else self.retry_policy.retry_deadline(request)
+        self._open_attempt(request, endpoint, is_prefill)
         action = StartAttempt(request.request_id, endpoint.endpoint_id, write_deadline=write_deadline)
         self.context.emit(action)
+        self.send_rates.record(endpoint, is_prefill=is_prefill)
         if is_prefill:
             request.prefill_target = endpoint
             self.reservations.request_next(request)
--- a/llm_router/routing/context.py
+++ b/llm_router/routing/context.py
@@ -14,19 +14,25 @@
 
     Every part of the policy may read this state. `now` is in nanoseconds. `actions` keeps the order in which
     the parts emit them. The order of random draws is part of the behaviour, so that the same events with the
-    same seed lead to the same actions."""
+    same seed lead to the same actions. `first_error` is the first internal error during the current event."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.random = Random(seed)
         self.now = 0
         self.actions: list[Action] = []
+        self.first_error: Exception | None = None
         self.timers = Timers()
 
     def start_event(self, now: int) -> None:
-        """Set the clock to `now` and clear the list of actions."""
+        """Set the clock to `now`, and clear the list of actions and the error."""
         self.now = now
         self.actions = []
+        self.first_error = None
+
+    def record_error(self, error: Exception) -> None:
+        """Record an internal error of a decision; the decisions about other requests continue."""
+        self.first_error = self.first_error or error
 
     def emit(self, action: Action) -> None:
         """Append an action to the actions of the current event."""
--- a/llm_router/routing/hash_ring.py
+++ b/llm_router/routing/hash_ring.py
@@ -17,8 +17,10 @@
 def stable_hash(text: str) -> int:
     """Return a 32-bit hash of a text that is the same in every process.
 
-    CRC-32 alone distributes similar texts unevenly, so the finalizer of SplitMix64 is applied to it."""
-    value = (crc32(text.encode()) + 0x9E3779B97F4A7C15) * 0xBF58476D1CE4E5B9 & MASK_64_BITS
+    Every text has a hash, also one with lone surrogates, which UTF-8 cannot encode. CRC-32 alone distributes
+    similar texts unevenly, so the finalizer of SplitMix64 is applied to it."""
+    checksum = crc32(text.encode(errors="surrogatepass"))
+    value = (checksum + 0x9E3779B97F4A7C15) * 0xBF58476D1CE4E5B9 & MASK_64_BITS
     return ((value ^ value >> 31) * 0x94D049BB133111EB & MASK_64_BITS) >> 32
 
 
--- a/llm_router/routing/periodic_check.py
+++ b/llm_router/routing/periodic_check.py
@@ -38,11 +38,16 @@
 
     def _run(self) -> None:
         waiting = [request for request in self.requests.values() if not request.has_answer]
+        try:
+            self._check(waiting)
+        finally:  # An internal error must not end the checks.
+            self._is_scheduled = False
+            if waiting:
+                self.ensure_scheduled()
+
+    def _check(self, waiting: list[TrackedRequest]) -> None:
         self.silence.check(waiting)
         self.affinities.drop_idle(self.context.now)
         self.popularity.drop_idle()
         for request in waiting:
             self.progress.advance(request)
-        self._is_scheduled = False
-        if waiting:
-            self.ensure_scheduled()
--- a/llm_router/routing/policy.py
+++ b/llm_router/routing/policy.py
@@ -19,6 +19,7 @@
 from llm_router.routing.decode_selection import DecodeSelection
 from llm_router.routing.endpoint_index import EndpointIndex
 from llm_router.routing.endpoint_watch import EndpointWatch
+from llm_router.routing.errors import DecisionError
 from llm_router.routing.failure_detection import FailureDetector
 from llm_router.routing.gossip import Gossip
 from llm_router.routing.load_probes import LoadProbes
@@ -171,15 +172,29 @@
         """Handle an event and return the resulting actions in order.
 
         `now` is in nanoseconds and never decreases. Events of unknown types have no effect, nor do events
-        about unknown requests, attempts or endpoints."""
+        about unknown requests, attempts or endpoints. A request whose decision fails with an internal error
+        is ended; then raise DecisionError, which has the resulting actions."""
         self.context.start_event(now)
         handler = self._handlers.get(type(event))
         if handler is not None:
-            request = handler(event)
-            if request is not None:
-                self.progress.advance(request)
+            self._run(handler, event)
+        if self.context.first_error is not None:
+            raise DecisionError(self.context.actions) from self.context.first_error
         return self.context.actions
 
+    def _run(self, handler: Handler, event: events.Event) -> None:
+        """Run an event's handler and advance its request; end the event's request if the handler fails."""
+        try:
+            request = handler(event)
+        except Exception as error:
+            self.context.record_error(error)
+            failed = self.requests.get(getattr(event, "request_id", ""))
+            if failed is not None:
+                self.progress.end_after_error(failed)
+            return
+        if request is not None:
+            self.progress.advance(request)
+
     def _on_endpoint_list(self, event: events.EndpointListUpdate) -> None:
         self.watch.subscribe()
         if event.entries is None:
--- a/llm_router/routing/request_progress.py
+++ b/llm_router/routing/request_progress.py
@@ -35,11 +35,28 @@
         self.completion = completion
 
     def advance(self, request: TrackedRequest) -> None:
-        """Advance a request that has no open attempt; remove it if it has ended."""
+        """Advance a request that has no open attempt; remove it if it has ended.
+
+        An internal error ends this request alone. The context keeps the error."""
         if request.open_attempts or self.requests.get(request.request_id) is not request:
             return
-        if not request.ended:
-            self._take_next_step(request)
+        try:
+            if not request.ended:
+                self._take_next_step(request)
+        except Exception as error:
+            self.context.record_error(error)
+            self.end_after_error(request)
+        else:
+            self._remove_if_done(request)
+
+    def end_after_error(self, request: TrackedRequest) -> None:
+        """End a request after an internal error, unless it has its answer; remove it if it has ended."""
+        if not request.has_answer:
+            self.completion.finish(request, AnswerReason.INTERNAL_ERROR)
+        self._remove_if_done(request)
+
+    def _remove_if_done(self, request: TrackedRequest) -> None:
+        """Release the resources of a request and remove it, if it has ended and has no open attempt."""
         if request.ended and not request.open_attempts:
             self.completion.release(request)
             del self.requests[request.request_id]
--- a/llm_router/transport/runtime.py
+++ b/llm_router/transport/runtime.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from datetime import timedelta
 from typing import Any
@@ -12,6 +12,7 @@
 from llm_router import log
 from llm_router.configuration import RouterConfig
 from llm_router.lifecycle import effects, events
+from llm_router.lifecycle.errors import EventError
 from llm_router.lifecycle.idempotency_registry import IdempotencyRegistry
 from llm_router.lifecycle.reducer import reduce
 from llm_router.lifecycle.send_guard import Denial, check_attempt, check_reserve
@@ -109,8 +110,19 @@
             raise first_error
 
     def _dispatch(self, event: events.Event) -> None:
-        for effect in reduce(self.state, self._clock.now(), event):
-            self._handlers[type(effect)](effect)
+        """Apply the reducer to one event and dispatch all of its effects, and then raise the first error."""
+        first_error: Exception | None = None
+        try:
+            resulting: Sequence[effects.Effect] = reduce(self.state, self._clock.now(), event)
+        except EventError as error:
+            resulting, first_error = error.effects, error
+        for effect in resulting:
+            try:
+                self._handlers[type(effect)](effect)
+            except Exception as error:
+                first_error = first_error or error
+        if first_error is not None:
+            raise first_error
 
     async def wait_until_idle(self) -> None:
         """Wait until no task runs and all KV leases are released, but no longer than IDLE_WAIT_TIMEOUT."""
--- a/tests/frontends/test_kserve.py
+++ b/tests/frontends/test_kserve.py
@@ -85,6 +85,9 @@
         infer_request(request_id=None),
         infer_request(time_left_ms="soon"),
         infer_request(prompt_len=-1),
+        infer_request(session="lone").replace(
+            b"lone", b"\\uD8"
+        ),  # four bytes for four: an incomplete surrogate
     ],
 )
 def test_a_malformed_request_reaches_no_endpoint(tmp_path, data):
--- a/tests/frontends/test_platform_load_reports.py
+++ b/tests/frontends/test_platform_load_reports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from stand_ins import (
     DONE,
     EVENT,
@@ -11,7 +12,10 @@
     chat_request,
     chunk,
     message,
+    prefill,
     registry_entry,
+    router_with_endpoints,
+    run,
     running_router,
 )
 
@@ -77,3 +81,23 @@
                 assert not await program.stop_and_read_internal_errors()
 
     asyncio.run(test())
+
+
+# Guards against requests that get no endpoint because a decision fails on an endpoint's absurd load report.
+@pytest.mark.parametrize("gauge", ["1e308", "-1e308", "1e300", "inf", "nan"])
+def test_an_implausible_load_report_leaves_requests_served(tmp_path, gauge):
+    async def answer_prefill(call, writer):
+        if call[0].startswith("GET /stats"):
+            writer.write(message("HTTP/1.1 200 OK", f"inflight={gauge},queue={gauge},x1={gauge}".encode()))
+        else:
+            await prefill(call, writer)
+
+    async def test():
+        settings = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "probes": True}}
+        async with router_with_endpoints(tmp_path, prefill=answer_prefill, settings=settings) as program:
+            for number in range(3):  # The first response makes the prefill speed known.
+                response = await program.exchange(chat_request(f"r{number}"))
+                assert response[0] == "HTTP/1.1 200 OK"
+            assert not await program.stop_and_read_internal_errors()
+
+    run(test())
--- a/tests/frontends/test_platform_requests.py
+++ b/tests/frontends/test_platform_requests.py
@@ -48,6 +48,8 @@
         (chat_request(id="a b"), 400),
         (chat_request(facts="max_out=2"), 400),
         (chat_request(facts=FACTS + ",prefix=" + "x" * 300), 400),
+        (chat_request().replace(b"X-Session-Key: ", b"X-Session-Key: \xff"), 400),
+        (chat_request(facts=FACTS + ",prefix=?").replace(b"?", b"\xff"), 400),
         (chat_request(body=b"{"), 400),
         (chat_request(body=b"[]"), 400),
         (chat_request(body=b'"' + b"x" * 262144 + b'"'), 413),
@@ -55,7 +57,7 @@
         (message("GET /x HTTP/1.1", Host="h"), 404),
         (b"nonsense\r\n\r\n", 400),
     ],
-    ids=range(11),
+    ids=range(13),
 )
 def test_a_malformed_request_is_rejected_and_reaches_no_endpoint(tmp_path, data, status):
     async def test():
--- a/tests/support/kv_lease_model.py
+++ b/tests/support/kv_lease_model.py
@@ -125,6 +125,7 @@
 
     def feed(self, event: events.Event) -> None:
         for effect in reduce(self.state, self.now * MILLISECOND, event):
+            assert not isinstance(effect, effects.LogEvent) or effect.name != "decision_failed", effect
             if handler := self.handlers.get(type(effect)):
                 handler(effect)
 
--- a/tests/support/reducer_harness.py
+++ b/tests/support/reducer_harness.py
@@ -65,6 +65,7 @@
             written = events.AttemptWritten(opened.request_id, opened.attempt)
             self.effects += reduce(self.state, self.now, written)
         self.logged += [line.name for line in self.effects_of(effects.LogEvent)]
+        assert "decision_failed" not in self.logged
         self.release_timers += [
             scheduled
             for scheduled in self.effects_of(effects.ScheduleTimer)
--- a/tests/support/router_process.py
+++ b/tests/support/router_process.py
@@ -24,6 +24,7 @@
     "request_handler_failed",
     "relay_failed",
     "event_loop_error",
+    "decision_failed",
 )
 
 
--- a/tests/transport/test_runtime.py
+++ b/tests/transport/test_runtime.py
@@ -6,7 +6,7 @@
 import pytest
 from stand_ins import within
 
-from llm_router.lifecycle import reducer
+from llm_router.lifecycle import effects, reducer
 from llm_router.lifecycle.events import ClientDisconnected, LoadReportReceived, RequestReceived
 from llm_router.routing.events import AttemptStatus
 
@@ -45,3 +45,22 @@
             assert handled == ["after"]
 
     asyncio.run(test())
+
+
+# Guards against a final answer that is lost because another effect of its event fails.
+def test_an_effect_that_fails_does_not_drop_the_other_effects_of_its_event(
+    monkeypatch, runtime_with_endpoints
+):
+    async def test():
+        async with runtime_with_endpoints() as deployment:
+            runtime, logged = deployment.runtime, []
+            failing = effects.SendFailure("q", "failed")
+            resulting = (failing, effects.LogEvent("after", {}))
+            monkeypatch.setitem(reducer.HANDLERS, ClientDisconnected, lambda *_: resulting)
+            monkeypatch.setitem(runtime._handlers, effects.SendFailure, lambda _effect: 1 / 0)
+            monkeypatch.setitem(runtime._handlers, effects.LogEvent, logged.append)
+            with pytest.raises(ZeroDivisionError):
+                runtime.feed(ClientDisconnected("q"))
+            assert logged == [resulting[1]]
+
+    asyncio.run(test())
