Keep no body of an answered request in memory for as long as a connection lives

Cause: the memory of a body was given back at the answer, but two objects that outlive a request kept the body: aiohttp's request, until the client's next one, and each connection to an endpoint, whose context held the hook that runs before a request is written.

Change: bodies are read without aiohttp's cache, and the context holds a slot that is emptied with the call of the hook. The same cause: heads of answered requests stay counted until aiohttp drops them, and buffered responses until they are sent.

The tests of ResponseRelay._read_body follow its new signature; that a response keeps its memory until the final answer is now tested until it is sent or dropped, which is longer.

--- a/llm_router/frontends/kserve/proxied_request.py
+++ b/llm_router/frontends/kserve/proxied_request.py
@@ -14,7 +14,9 @@
 from llm_router.lifecycle.effects import OpenAttempt
 from llm_router.lifecycle.events import RequestReceived
 from llm_router.routing.events import AttemptStatus
+from llm_router.transport.counted_response import CountedResponse
 from llm_router.transport.frontend_protocol import ResponseHead, ResponseTail, UpstreamRequest
+from llm_router.transport.memory_budget import MemoryShare
 from llm_router.transport.responses import request_target
 
 # The router copies these headers from a request to an endpoint and from a response to a client.
@@ -75,6 +77,11 @@
         self.status = 200
         self.headers: dict[str, str] = {}
         self._data = b""
+        self._share: MemoryShare | None = None
+
+    def count(self, share: MemoryShare) -> None:
+        """Take over the share that counts the response."""
+        self._share = share
 
     def is_complete(self, data: bytes) -> bool:
         """Return whether the data is a complete response.
@@ -95,7 +102,8 @@
 
     async def finish(self) -> None:
         """Send the buffered response to the client."""
-        self.answer(web.Response(status=self.status, headers=self.headers, body=self._data))
+        assert self._share is not None, "a response is counted before it is sent"
+        self.answer(CountedResponse(self._share, status=self.status, headers=self.headers, body=self._data))
 
     def abort(self) -> None:
         """Answer the client that the endpoint's response was incomplete."""
--- a/llm_router/transport/attempt_executor.py
+++ b/llm_router/transport/attempt_executor.py
@@ -15,6 +15,7 @@
 from llm_router.lifecycle.send_guard import Denial
 from llm_router.routing.events import AttemptStatus, ConnectionFault
 from llm_router.transport.acknowledgement import AcknowledgementTimer
+from llm_router.transport.body_reader import read_body
 from llm_router.transport.clock import Clock, elapsed_since, to_milliseconds, to_seconds
 from llm_router.transport.errors import (
     AttemptWithdrawnError,
@@ -25,7 +26,6 @@
 from llm_router.transport.frontend_protocol import ProxiedRequest, UpstreamRequest
 from llm_router.transport.pool import ConnectionPool, UpstreamCall
 from llm_router.transport.release_client import ReleaseClient
-from llm_router.transport.response_body import read_body
 from llm_router.transport.response_relay import ResponseRelay, log_malformed_response
 
 MAX_SHORT_BODY_SIZE = 64 * 1024  # maximum bytes in the body of a response that is not relayed
@@ -202,5 +202,5 @@
         """Return the body of a response that is not relayed, or None if it is not complete in time."""
         with suppress(*SEND_ERRORS, RuntimeError):
             async with asyncio.timeout(to_seconds(SHORT_BODY_TIMEOUT)):
-                return await read_body(response, MAX_SHORT_BODY_SIZE)
+                return await read_body(response.content, MAX_SHORT_BODY_SIZE)
         return None
--- a/llm_router/transport/client_connection.py
+++ b/llm_router/transport/client_connection.py
@@ -112,7 +112,6 @@
         if not reset and not resp.keep_alive and self.transport is not None and self._manager:
             self.linger()
             await asyncio.sleep(to_seconds(LINGER_TIMEOUT))
-        self.drop_answered_head()
         return resp, reset
 
     def force_close(self) -> None:
--- a/llm_router/transport/discovery.py
+++ b/llm_router/transport/discovery.py
@@ -14,9 +14,9 @@
 from llm_router import log
 from llm_router.configuration import RouterConfig
 from llm_router.lifecycle.events import EndpointListReceived
+from llm_router.transport.body_reader import read_body
 from llm_router.transport.clock import elapsed_since, to_milliseconds, to_seconds
 from llm_router.transport.pool import ConnectionPool, UpstreamCall
-from llm_router.transport.response_body import read_body
 
 WATCH_TIMEOUT = timedelta(seconds=2.5)  # maximum time for which discovery may hold a watch call open
 # Time limit of a call, from connecting to the end of the response.
@@ -165,7 +165,7 @@
         reach the router within 6 s, even if one call fails and only the next one returns the change."""
         async with asyncio.timeout(to_seconds(timeout)):
             async with self._pool.request(UpstreamCall("GET", self._address, path)) as response:
-                body = await read_body(response, MAX_LIST_SIZE)
+                body = await read_body(response.content, MAX_LIST_SIZE)
         if response.status != 200:
             raise ValueError(f"discovery answered with HTTP status {response.status}")
         return orjson.loads(body)
--- a/llm_router/transport/errors.py
+++ b/llm_router/transport/errors.py
@@ -15,10 +15,6 @@
     """A response is malformed; the request may have run, and the connection is not reused."""
 
 
-class ResponseTooLargeError(UpstreamError, aiohttp.ClientPayloadError):
-    """The body of a response is larger than the router keeps."""
-
-
 class LocalConnectError(UpstreamError, aiohttp.ClientOSError):
     """A connection could not be opened because of an error on the router's host, not at the endpoint."""
 
--- a/llm_router/transport/frontend_protocol.py
+++ b/llm_router/transport/frontend_protocol.py
@@ -13,6 +13,7 @@
 from llm_router.lifecycle.effects import OpenAttempt
 from llm_router.lifecycle.events import RequestReceived
 from llm_router.routing.events import NO_REPORT, AttemptStatus, LoadReport
+from llm_router.transport.memory_budget import MemoryShare
 
 
 @dataclass(slots=True, frozen=True)
@@ -93,6 +94,9 @@
 class BufferedSink(ResponseSink, Protocol):
     """A sink that relays a response as a whole."""
 
+    def count(self, share: MemoryShare) -> None:
+        """Take over the share that counts the response; release it once the response is sent or dropped."""
+
     def is_complete(self, data: bytes) -> bool:
         """Return whether the data is a complete response."""
 
--- a/llm_router/transport/frontend_server.py
+++ b/llm_router/transport/frontend_server.py
@@ -12,6 +12,7 @@
 from llm_router import log
 from llm_router.configuration import MAX_BODY_BYTES, ResourceLimits, RouterConfig
 from llm_router.transport.acceptor import Acceptor
+from llm_router.transport.body_reader import BodyTooLargeError, read_body
 from llm_router.transport.clock import elapsed_since, to_seconds
 from llm_router.transport.http_server import (
     ErrorResponse,
@@ -142,11 +143,13 @@
             return plain_text_error(413, "the request body exceeds the limit of 256 KiB", close=True)
         if request.headers.get("Expect", "").lower() == "100-continue":
             await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        request.content.set_read_chunk_size(MAX_BODY_BYTES)  # The body's memory is reserved.
         deadline = self.http_server.request_awaited_since(request) + to_seconds(BODY_TIMEOUT)
         try:
             async with asyncio.timeout_at(deadline):
-                return await request.read()
-        except web.HTTPRequestEntityTooLarge:
+                # `request.read()` would keep a copy of the body in the request, which outlives its answer.
+                return await read_body(request.content, MAX_BODY_BYTES)
+        except BodyTooLargeError:
             return plain_text_error(413, "the request body exceeds the limit of 256 KiB", close=True)
         except TimeoutError:
             return plain_text_error(408, "the request body was not received in time", close=True)
--- a/llm_router/transport/http_server.py
+++ b/llm_router/transport/http_server.py
@@ -96,7 +96,7 @@
         request = web.BaseRequest(
             message, payload, protocol, output, task, self._loop, client_max_size=max_size
         )
-        arrival = cast(ClientConnection, protocol).pop_head_arrival(message)
+        arrival = cast(ClientConnection, protocol).start_request(message)
         request[WAITING_SINCE] = arrival if payload.is_eof() else None
         return request
 
--- a/llm_router/transport/limited_request_handler.py
+++ b/llm_router/transport/limited_request_handler.py
@@ -218,14 +218,13 @@
             self._input.fits_in_memory()
         super()._resume_transport_reading()
 
-    def drop_answered_head(self) -> None:
-        """Give back the memory of the oldest request head, whose request was answered."""
-        if self._input is not None:
+    def start_request(self, message: object) -> float:
+        """Remove and return the earliest arrival time of the head of a request whose turn has come.
+
+        This gives back the memory of the previous head, which aiohttp has kept until now."""
+        if self._input is not None and self._answered_requests:
             self._input.heads.drop_answered()
             self._input.fits_in_memory()
-
-    def pop_head_arrival(self, message: object) -> float:
-        """Remove and return the earliest arrival time of a request head."""
         return self._head_arrivals.pop(id(message), self.last_input_since)
 
     def _pause_transport_reading(self) -> None:
--- a/llm_router/transport/pool.py
+++ b/llm_router/transport/pool.py
@@ -14,11 +14,11 @@
 from yarl import URL
 
 from llm_router.configuration import RouterConfig
+from llm_router.transport.body_reader import read_body
 from llm_router.transport.clock import to_seconds
-from llm_router.transport.response_body import read_body
 from llm_router.transport.socket_budget import SocketBudget, may_use_release_sockets
 from llm_router.transport.upstream_connector import UpstreamConnector, disable_retries
-from llm_router.transport.write_hook import BeforeWrite, HookedClientRequest, before_write
+from llm_router.transport.write_hook import BeforeWrite, HookedClientRequest, set_hook
 
 MAX_CALL_BODY_SIZE = 256 * 1024  # maximum bytes in the body of a response to a call
 READ_BUFFER_SIZE = 16 * 1024  # bytes buffered per response while its client reads slowly
@@ -108,7 +108,7 @@
     def request(self, call: UpstreamCall) -> _RequestContextManager:
         """Make a call; return aiohttp's awaitable and context manager for the response."""
         # A hook of None is set as well, because a task inherits the hook of the task that created it.
-        before_write.set(call.before_write)
+        set_hook(call.before_write)
         may_use_release_sockets.set(call.for_release)
         timeout = self.session.timeout
         if call.connect_timeout is not None:
@@ -139,7 +139,8 @@
         try:
             async with asyncio.timeout(to_seconds(timeout)):
                 async with self.request(call) as response:
-                    return CallResponse(response.status, await read_body(response, MAX_CALL_BODY_SIZE))
+                    body = await read_body(response.content, MAX_CALL_BODY_SIZE)
+                    return CallResponse(response.status, body)
         except CALL_ERRORS:
             return None
 
--- a/llm_router/transport/response_relay.py
+++ b/llm_router/transport/response_relay.py
@@ -152,8 +152,9 @@
         self, effect: effects.OpenAttempt, sink: BufferedSink, response: aiohttp.ClientResponse
     ) -> RelayResult:
         """Read a response to its end, then send it to the client."""
+        share = MemoryShare(self._memory)
         try:
-            data = await self._read_body(response, sink)
+            data = await self._read_body(response, share)
         except MalformedResponseError as error:
             log_malformed_response(effect, error)
             return RelayResult(AttemptStatus.ERROR)
@@ -162,19 +163,21 @@
         if data is None:
             return RelayResult(AttemptStatus.ERROR)
         if not sink.is_complete(data):
+            share.release()
             return RelayResult(AttemptStatus.RESET)
+        sink.count(share)
         self._feed(events.ResponseStarted(effect.request_id, effect.attempt))
         await sink.start()
         await sink.write(data)
         await sink.finish()
         return RelayResult(AttemptStatus.OK, data)
 
-    async def _read_body(self, response: aiohttp.ClientResponse, sink: BufferedSink) -> bytes | None:
-        """Return a response's body, or None if it would exceed the memory budget.
+    @staticmethod
+    async def _read_body(response: aiohttp.ClientResponse, share: MemoryShare) -> bytes | None:
+        """Return a response's body, or None if it would exceed the memory budget of the share.
 
         The budget is needed because all response bodies together may be larger than the memory limit."""
         data = bytearray()
-        share = MemoryShare(self._memory)
         try:
             while piece := await response.content.readany():
                 data += piece
@@ -185,5 +188,4 @@
         except BaseException:
             share.release()
             raise
-        sink.done.add_done_callback(lambda _: share.release())
         return bytes(data)
--- a/tests/frontends/test_memory_floods.py
+++ b/tests/frontends/test_memory_floods.py
@@ -6,12 +6,14 @@
 
 import pytest
 from floods import FLOODS, LARGE_BODY, MEGABYTE, MemoryWatch, flood
-from stand_ins import chat_request, router_with_endpoints, run
+from stand_ins import chat_request, read_message, router_with_endpoints, run, within
 
 MEMORY_MB = 192
 SMALL_MEMORY_MB = 96
 CLIENTS = 150  # flooding clients, on one connection each
 USUAL_CLIENTS = 4
+RESTING_CLIENTS = 300
+AT_ONCE = 10  # clients that send at the same time
 SECONDS = 3.0  # duration of a flood
 OVERLOADED = b"the router is overloaded\n"  # body of a rejection for want of memory
 
@@ -65,3 +67,27 @@
             assert memory.peak < SMALL_MEMORY_MB * MEGABYTE
 
     run(test())
+
+
+# Guards against bodies that stay in memory after their answers, while the connections rest.
+def test_answered_large_requests_on_resting_connections_leave_the_router_within_its_limit(tmp_path):
+    async def ask(program, number):
+        reader, writer = await program.connect()
+        writer.write(chat_request(id=f"large{number}", body=LARGE_BODY))
+        assert (await within(read_message(reader)))[0] == "HTTP/1.1 200 OK"
+        return writer
+
+    async def test():
+        limits = {"memory_mb": SMALL_MEMORY_MB, "sockets": 1024}
+        async with router_with_endpoints(tmp_path, limits=limits) as program:
+            resting = []
+            with MemoryWatch(program.process.pid).running() as memory:
+                for first in range(0, RESTING_CLIENTS, AT_ONCE):
+                    numbers = range(first, first + AT_ONCE)
+                    resting += await asyncio.gather(*(ask(program, number) for number in numbers))
+            print(f"peak {memory.peak / MEGABYTE:.0f} MB")
+            assert memory.peak < SMALL_MEMORY_MB * MEGABYTE
+            for writer in resting:
+                writer.close()
+
+    run(test())
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import weakref
 from types import SimpleNamespace
 
 import pytest
@@ -9,8 +10,9 @@
 
 from llm_router.transport.client_connection import ClientConnection
 from llm_router.transport.clock import to_seconds
+from llm_router.transport.counted_response import CountedResponse
 from llm_router.transport.http_server import NEW_CONNECTION_AGE, HttpServer, ServerLimits
-from llm_router.transport.memory_budget import MemoryBudget
+from llm_router.transport.memory_budget import MemoryBudget, MemoryShare
 from llm_router.transport.rejected_connection import RejectedConnection
 from llm_router.transport.responses import plain_text_error
 
@@ -155,3 +157,70 @@
         asyncio.run(test())
     finally:
         gc.enable()
+
+
+async def _until(condition):
+    """Let the event loop run until the condition holds."""
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.001)
+
+
+# Guards against heads that aiohttp keeps with the last request of a resting connection, and nobody counts.
+def test_the_head_of_an_answered_request_is_counted_until_the_next_one_or_the_close():
+    async def test():
+        async def handle(_request):
+            return web.Response(text="done")
+
+        server = HttpServer(handle, None, *limits(5, 5, 500_000))
+        listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+        start = b"GET / HTTP/1.1\r\nHost: h\r\n"
+        writer.write(start + b"".join(b"X-%d: %s\r\n" % (n, b"x" * 5000) for n in range(5)) + b"\r\n")
+        await asyncio.wait_for(reader.readuntil(b"done"), 10)
+        await _until(lambda: server.connections[0].is_idle)
+        assert server.input_memory._used > 25_000
+        writer.write(start + b"\r\n")
+        await asyncio.wait_for(reader.readuntil(b"done"), 10)
+        assert server.input_memory._used == 0, "a small head is within the allowance"
+        writer.close()
+        await _until(lambda: not server.connections)
+        assert server.input_memory._used == 0
+        listener.close()
+
+    asyncio.run(test())
+
+
+# Guards against buffered responses that stay in memory uncounted, because their client reads slowly or rests.
+@pytest.mark.parametrize("reads", [True, False])
+def test_a_counted_response_stays_counted_until_it_is_sent_or_its_connection_is_closed(reads):
+    body = b"x" * 4_000_000  # more than the kernel buffers for a client that does not read
+
+    async def test():
+        memory = MemoryBudget(10 * len(body))
+        answers = weakref.WeakSet()
+
+        async def handle(_request):
+            share = MemoryShare(memory)
+            share.resize(len(body))
+            answers.add(response := CountedResponse(share, body=body))
+            return response
+
+        server = HttpServer(handle, None, *limits(5, 5, 500))
+        listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 10)
+        assert memory._used == len(body)
+        if reads:
+            await asyncio.wait_for(reader.readexactly(len(body)), 10)
+            await _until(lambda: server.connections[0].all_answered)
+            assert {answer.body for answer in answers} == {None}, "the connection keeps its last response"
+        else:
+            writer.transport.abort()
+            await _until(lambda: not server.connections)
+        await _until(lambda: memory._used == 0)
+        writer.close()
+        listener.close()
+
+    asyncio.run(test())
--- a/tests/transport/test_pool.py
+++ b/tests/transport/test_pool.py
@@ -1,8 +1,10 @@
 """Tests of the connection pool: its socket limit, idle and stale connections, and cancelled calls."""
 
 import asyncio
+import gc
 import socket
 import threading
+import weakref
 from datetime import timedelta
 from types import SimpleNamespace
 
@@ -234,3 +236,23 @@
         listener.close()
 
     asyncio.run(test())
+
+
+# Guards against idle connections that keep the request for which they were opened, with its body, in memory.
+def test_an_idle_connection_does_not_keep_the_hook_of_the_request_that_opened_it(runtime_with_endpoints):
+    async def test():
+        async with runtime_with_endpoints() as deployment:
+            pool = deployment.runtime.pool
+
+            def hook(_headers, _transport):
+                pass
+
+            call = UpstreamCall("DELETE", deployment.prefill.address, "/v1/holds/a", before_write=hook)
+            hook_reference = weakref.ref(hook)
+            assert await asyncio.create_task(pool.call(call, TIMEOUT)) == 204
+            del call, hook
+            assert pool.connector._conns, "the connection must be idle"
+            gc.collect()
+            assert hook_reference() is None
+
+    asyncio.run(test())
--- a/tests/transport/test_response_memory.py
+++ b/tests/transport/test_response_memory.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from llm_router.frontends.kserve.proxied_request import BufferedResponseSink
+from llm_router.routing.events import AttemptStatus
 from llm_router.transport.errors import MalformedResponseError
 from llm_router.transport.memory_budget import MemoryBudget, MemoryShare
 from llm_router.transport.response_relay import BODY_COPIES, ResponseRelay
@@ -38,24 +40,37 @@
 def test_a_response_that_breaks_off_gives_its_memory_back(error):
     async def test():
         budget = MemoryBudget(BODY_COPIES * 2 * len(PIECE))
-        sink = SimpleNamespace(done=asyncio.get_running_loop().create_future())
         with pytest.raises(type(error)):
-            await ResponseRelay(budget, None)._read_body(response(PIECE, error), sink)
+            await ResponseRelay._read_body(response(PIECE, error), MemoryShare(budget))
         assert is_free(budget)
 
     asyncio.run(test())
 
 
-def test_a_response_keeps_its_memory_until_the_final_answer_and_a_larger_one_is_dropped():
+def test_a_response_keeps_its_memory_until_it_is_sent_or_dropped_and_a_larger_one_is_dropped():
     async def test():
         budget = MemoryBudget(BODY_COPIES * 2 * len(PIECE))
-        relay = ResponseRelay(budget, None)
-        sink = SimpleNamespace(done=asyncio.get_running_loop().create_future())
-        assert await relay._read_body(response(PIECE, PIECE, b""), sink) == PIECE * 2
+        share = MemoryShare(budget)
+        data = await ResponseRelay._read_body(response(PIECE, PIECE, b""), share)
+        assert data == PIECE * 2
         assert not is_free(budget)
-        assert await relay._read_body(response(PIECE, b""), sink) is None
-        sink.done.set_result(None)
-        await asyncio.sleep(0)
+        assert await ResponseRelay._read_body(response(PIECE, b""), MemoryShare(budget)) is None
+        sink = BufferedResponseSink()
+        sink.count(share)
+        await sink.write(data)
+        await sink.finish()
+        assert sink.done.result().body == data and not is_free(budget)
+        del sink
         assert is_free(budget)
 
     asyncio.run(test())
+
+
+def test_a_response_that_is_cut_off_gives_its_memory_back():
+    async def test():
+        budget = MemoryBudget(BODY_COPIES * 2 * len(PIECE))
+        relay = ResponseRelay(budget, None)
+        result = await relay.relay(None, BufferedResponseSink(), response(b"{", b""))
+        assert result.status is AttemptStatus.RESET and is_free(budget)
+
+    asyncio.run(test())
