Reject a request that is complete so late after SIGTERM that SIGKILL could cut it

Cause: a connection with a partial request stays open in a shutdown, as it must, but nothing compared the time at which the request was complete with that of SIGTERM.

Arrival holds the time of receipt beside the earliest possible arrival.

--- a/llm_router/frontends/kserve/frontend.py
+++ b/llm_router/frontends/kserve/frontend.py
@@ -128,6 +128,8 @@
             received = parse_inference(request_id, inference, len(body), self.classes)
         except InvalidRequestError as error:
             return error_response(400, str(error), close=True)
+        if self.server.arrived_too_late(request):
+            return overloaded_response()
         await self.server.detect_disconnect(request)
         if len(runtime.proxied_requests) >= self.config.max_open_requests:
             return overloaded_response()
--- a/llm_router/frontends/platform/frontend.py
+++ b/llm_router/frontends/platform/frontend.py
@@ -54,6 +54,8 @@
             return body
         if body_problem := _find_body_problem(body):
             return plain_text_error(400, body_problem, close=True)
+        if self.server.arrived_too_late(request):
+            return _overloaded()
         await self.server.detect_disconnect(request)
         if received.request_id in self.runtime.proxied_requests:
             return plain_text_error(409, "a request with this id is running")
--- a/llm_router/transport/client_input.py
+++ b/llm_router/transport/client_input.py
@@ -12,12 +12,20 @@
 HEADER_LINE_MEMORY = 200  # bytes of memory for the objects of each header line
 
 
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """The loop times between which bytes from a client have arrived."""
+
+    earliest: float
+    received_at: float  # time at which the router received the bytes
+
+
 @dataclass(slots=True, frozen=True)
 class ReceivedPiece:
-    """Bytes from a client, and the earliest loop time at which they can have arrived."""
+    """Bytes from a client, and their arrival."""
 
     data: bytes
-    since: float
+    arrival: Arrival
 
 
 class InputBuffer:
--- a/llm_router/transport/frontend_server.py
+++ b/llm_router/transport/frontend_server.py
@@ -74,6 +74,10 @@
         """Whether the shutdown has begun."""
         return self._shutdown.phase is not ShutdownPhase.SERVING
 
+    def arrived_too_late(self, request: web.BaseRequest) -> bool:
+        """Whether a complete request arrived so late in the shutdown that its response might be cut off."""
+        return self._shutdown.is_too_late(HttpServer.request_arrival(request).received_at)
+
     def apply_limits(self, limits: ResourceLimits) -> None:
         """Apply new limits; open connections above them are left to end normally."""
         self.http_server.max_connections = limits.client_sockets
@@ -104,7 +108,7 @@
     @staticmethod
     def queueing_delay(request: web.BaseRequest) -> timedelta:
         """Return how long a complete request may have been queued since its last byte arrived."""
-        return max(timedelta(), elapsed_since(HttpServer.request_waiting_since(request)))
+        return max(timedelta(), elapsed_since(HttpServer.request_arrival(request).earliest))
 
     @staticmethod
     async def detect_disconnect(request: web.BaseRequest) -> None:
--- a/llm_router/transport/http_server.py
+++ b/llm_router/transport/http_server.py
@@ -19,6 +19,7 @@
 
 from llm_router import log
 from llm_router.transport.client_connection import ClientConnection
+from llm_router.transport.client_input import Arrival
 from llm_router.transport.clock import to_seconds
 from llm_router.transport.listener import Listener
 from llm_router.transport.memory_budget import MemoryBudget
@@ -30,10 +31,10 @@
 # The first request head of a connection younger than this may still be in transit.
 NEW_CONNECTION_AGE = timedelta(seconds=0.3)
 
-# Key under which a request stores its earliest arrival time, or None if its body was not yet complete.
-WAITING_SINCE: web.RequestKey[float | None] = web.RequestKey(
-    "waiting_since",
-    float | None,  # type: ignore[arg-type]  # aiohttp uses the type only in the key's repr.
+# Key under which a request stores the arrival of its last byte, or None if its body was not yet complete.
+ARRIVAL: web.RequestKey[Arrival | None] = web.RequestKey(
+    "arrival",
+    Arrival | None,  # type: ignore[arg-type]  # aiohttp uses the type only in the key's repr.
 )
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -97,7 +98,7 @@
             message, payload, protocol, output, task, self._loop, client_max_size=max_size
         )
         arrival = cast(ClientConnection, protocol).start_request(message)
-        request[WAITING_SINCE] = arrival if payload.is_eof() else None
+        request[ARRIVAL] = arrival if payload.is_eof() else None
         return request
 
     def waiting_since(self, transport: asyncio.BaseTransport) -> float:
@@ -145,12 +146,9 @@
         return connection.has_served, not connection.is_idle, connection.idle_since
 
     @staticmethod
-    def request_waiting_since(request: web.BaseRequest) -> float:
-        """Return the earliest loop time at which the last byte of a complete request can have arrived."""
-        since = request[WAITING_SINCE]
-        if since is not None:
-            return since
-        return cast(ClientConnection, request.protocol).last_input_since
+    def request_arrival(request: web.BaseRequest) -> Arrival:
+        """Return the arrival of the last byte of a complete request."""
+        return request[ARRIVAL] or cast(ClientConnection, request.protocol).last_arrival
 
     def request_awaited_since(self, request: web.BaseRequest) -> float:
         """Return the loop time from which the timeout of a request body counts.
--- a/llm_router/transport/limited_request_handler.py
+++ b/llm_router/transport/limited_request_handler.py
@@ -13,7 +13,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
-from llm_router.transport.client_input import ClientInput, ReceivedPiece
+from llm_router.transport.client_input import Arrival, ClientInput, ReceivedPiece
 from llm_router.transport.event_loop import input_since, limit_receive_size, select_count
 from llm_router.transport.memory_budget import MemoryShare
 
@@ -49,7 +49,7 @@
         "_first_select_count",
         "_head_arrivals",
         "_input",
-        "last_input_since",
+        "last_arrival",
         "partial_head_since",
     )
 
@@ -58,12 +58,12 @@
     def __init__(self, manager: HttpServer, **settings: Any) -> None:  # noqa: ANN401  # aiohttp's settings
         # Compressed bodies are left as they are: a small one could expand past the limits.
         super().__init__(manager, read_bufsize=PARSE_SIZE, auto_decompress=False, **settings)
-        # Earliest time at which the last received bytes can have arrived.
-        self.last_input_since = self._loop.time()
+        now = self._loop.time()
+        self.last_arrival = Arrival(now, now)  # arrival of the last parsed bytes
         # Time at which the first bytes of an incomplete request head were read.
         self.partial_head_since: float | None = None
-        # Earliest arrival time of each queued request head, by the message's id().
-        self._head_arrivals: dict[int, float] = {}
+        # Arrival of each queued request head, by the message's id().
+        self._head_arrivals: dict[int, Arrival] = {}
         self._first_select_count = 0
         self._answered_requests = 0
         self._buffers_input = False  # Whether aiohttp has paused reading.
@@ -107,7 +107,7 @@
         super().connection_made(transport)
         self._first_select_count = select_count(self._loop)
         if self._manager is not None:
-            self.last_input_since = self._manager.waiting_since(transport)
+            self.last_arrival = Arrival(self._manager.waiting_since(transport), self._loop.time())
 
     def data_received(self, data: bytes) -> None:
         """Process bytes that the event loop has received.
@@ -116,11 +116,12 @@
         if not self.accepts_input:
             return
         if not data:
-            self._parse_slice(data, self.last_input_since)
+            self._parse_slice(data, self.last_arrival)
             return
         selects = select_count(self._loop) - self._first_select_count
         is_first = not self._request_count and selects <= FIRST_INPUT_SELECTS
-        piece = ReceivedPiece(data, self.last_input_since if is_first else input_since(self._loop))
+        earliest = self.last_arrival.earliest if is_first else input_since(self._loop)
+        piece = ReceivedPiece(data, Arrival(earliest, self._loop.time()))
         if self._buffers_input or self._held_input().buffer:
             self._held_input().buffer.append(piece)
         else:
@@ -132,29 +133,29 @@
         position = 0
         while position < len(piece.data) and self.accepts_input:
             if self._buffers_input:
-                self._held_input().buffer.put_back(ReceivedPiece(piece.data[position:], piece.since))
+                self._held_input().buffer.put_back(ReceivedPiece(piece.data[position:], piece.arrival))
                 return
             end = position + self._slice_size()
-            self._parse_slice(piece.data[position:end], piece.since)
+            self._parse_slice(piece.data[position:end], piece.arrival)
             position = end
 
     def _slice_size(self) -> int:
         """Return the number of bytes to parse at once; the rest of a body of known size is one slice."""
         return max(PARSE_SIZE, self._body_size - self._body.total_bytes)
 
-    def _parse_slice(self, data: bytes, since: float) -> None:
-        """Parse some bytes, which can have arrived at the earliest at the loop time `since`."""
+    def _parse_slice(self, data: bytes, arrival: Arrival) -> None:
+        """Parse some bytes with this arrival."""
         body, had_body = self._body, not self._body.is_eof()
-        self._feed_parser(data, since)
+        self._feed_parser(data, arrival)
         if had_body and body.is_eof() and not self._messages and self.accepts_input:
             # The parser stops after each complete request, also after one whose handler is running.
-            self._feed_parser(b"", since)
+            self._feed_parser(b"", arrival)
 
-    def _feed_parser(self, data: bytes, since: float) -> None:
+    def _feed_parser(self, data: bytes, arrival: Arrival) -> None:
         """Pass bytes to the parser, and record which of them belong to heads."""
         requests_before, body_before = self._request_count, self._body.total_bytes
         if data:
-            self.last_input_since = since
+            self.last_arrival = arrival
         super().data_received(data)
         self._held_input().heads.add(data)
         if self._request_count > requests_before:
@@ -178,7 +179,7 @@
             # In the state OPEN, each further piece of input would count as another malformed request.
             self._stop_parsing()
             return
-        self._head_arrivals[id(message)] = self.last_input_since
+        self._head_arrivals[id(message)] = self.last_arrival
         self._body_size = _declared_size(message)
 
     def _check_heads(self) -> None:
@@ -218,14 +219,14 @@
             self._input.fits_in_memory()
         super()._resume_transport_reading()
 
-    def start_request(self, message: object) -> float:
-        """Remove and return the earliest arrival time of the head of a request whose turn has come.
+    def start_request(self, message: object) -> Arrival:
+        """Remove and return the arrival of the head of a request whose turn has come.
 
         This gives back the memory of the previous head, which aiohttp has kept until now."""
         if self._input is not None and self._answered_requests:
             self._input.heads.drop_answered()
             self._input.fits_in_memory()
-        return self._head_arrivals.pop(id(message), self.last_input_since)
+        return self._head_arrivals.pop(id(message), self.last_arrival)
 
     def _pause_transport_reading(self) -> None:
         # The transport keeps reading into the buffer, because only reading detects a client disconnect.
--- a/llm_router/transport/shutdown.py
+++ b/llm_router/transport/shutdown.py
@@ -14,6 +14,10 @@
 # Time after SIGTERM during which new connections are accepted.
 # Clients may still connect for up to 0.2 to 0.4 s after SIGTERM.
 GRACE_PERIOD = timedelta(seconds=0.5)
+# Requests that are complete later than this after SIGTERM are rejected.
+# The platform may kill the process before their responses end, and such a response is lost if its request
+# came more than 0.7 s after SIGTERM. The difference covers a delay of the event loop.
+FORWARDING_PERIOD = timedelta(seconds=0.55)
 # Time limit for accepting the connections in the accept queue.
 ACCEPT_TIMEOUT = timedelta(milliseconds=300)
 # This time limit replaces ACCEPT_TIMEOUT while accept calls fail.
@@ -42,9 +46,17 @@
         self._open_requests = open_requests
         self._loop = asyncio.get_running_loop()
         self.phase = ShutdownPhase.SERVING
+        self._requested_at: float | None = None  # loop time in seconds at which the shutdown began
+
+    def is_too_late(self, received_at: float) -> bool:
+        """Return whether a request that was complete at this loop time must be rejected."""
+        if self._requested_at is None:
+            return False
+        return received_at > self._requested_at + to_seconds(FORWARDING_PERIOD)
 
     async def run(self, acceptor: Acceptor) -> None:
         """Serve late clients for a grace period, then close idle connections and finish open requests."""
+        self._requested_at = self._loop.time()
         self.phase = ShutdownPhase.IN_GRACE_PERIOD
         await asyncio.sleep(to_seconds(GRACE_PERIOD))
         self.phase = ShutdownPhase.ACCEPTING
--- a/tests/frontends/test_kserve.py
+++ b/tests/frontends/test_kserve.py
@@ -5,7 +5,7 @@
 
 import pytest
 from kserve_sidecar import ANSWER, infer_request, load_assignment, sidecar, status
-from stand_ins import StandInServer, message, run, within
+from stand_ins import StandInServer, message, read_message, run, within
 
 
 async def serve(_call, writer):
@@ -232,3 +232,23 @@
             assert len(old.calls) == 1 and len(new.calls) == 1
 
     run(test())
+
+
+# Guards against responses that SIGKILL cuts, because their requests came late in the shutdown.
+def test_a_request_that_is_complete_late_in_the_shutdown_is_rejected(tmp_path):
+    async def test():
+        async with StandInServer(serve) as server, sidecar(tmp_path, server) as program:
+            reader, writer = await program.connect()
+            writer.write(infer_request()[:-5])
+            await asyncio.sleep(0.1)
+            program.process.terminate()
+            await program.wait_for_log("stopping")
+            await asyncio.sleep(0.8)
+            writer.write(infer_request()[-5:])
+            first, headers, _ = await within(read_message(reader))
+            assert first.split()[1] == "503" and headers["connection"] == "close"
+            writer.close()
+            assert await within(program.process.wait()) == 0
+            assert not server.named("POST")
+
+    run(test())
--- a/tests/frontends/test_platform_shutdown.py
+++ b/tests/frontends/test_platform_shutdown.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from socket import SO_ERROR, SOL_SOCKET
 
+import pytest
 from stand_ins import (
     DONE,
     EVENT,
@@ -79,13 +80,14 @@
             slow_writer.write(chat_request("pieces")[:40])
             await asyncio.sleep(0.1)
             program.process.send_signal(signal.SIGTERM)
+            await program.wait_for_log("stopping")
+            slow_writer.write(chat_request("pieces")[40:])
+            answer = await within(read_message(slow_reader))
+            assert answer[0].endswith("200 OK") and answer[1]["connection"] == "close"
             assert await within(idle_reader.read()) == b"", "the idle connection must be closed"
             for data in (chat_request("crossed"), b"more"):  # The bytes cross the close of the connection.
                 idle_writer.write(data)
                 await asyncio.sleep(0.1)
-            slow_writer.write(chat_request("pieces")[40:])
-            answer = await within(read_message(slow_reader))
-            assert answer[0].endswith("200 OK") and answer[1]["connection"] == "close"
             connection = idle_writer.transport.get_extra_info("socket")
             assert connection.getsockopt(SOL_SOCKET, SO_ERROR) == 0, "the connection must not be reset"
             idle_writer.close()
@@ -97,6 +99,28 @@
     run(test())
 
 
+# Guards against streams that SIGKILL cuts, because their requests came late in the shutdown.
+@pytest.mark.parametrize("cut", [40, -5], ids=["in the head", "in the body"])
+def test_a_request_that_is_complete_late_in_the_shutdown_is_rejected_and_reaches_no_endpoint(tmp_path, cut):
+    async def test():
+        async with router_with_endpoints(tmp_path) as program:
+            idle_reader, _ = await program.connect()
+            reader, writer = await program.connect()
+            writer.write(chat_request()[:cut])
+            await asyncio.sleep(0.1)
+            program.process.send_signal(signal.SIGTERM)
+            assert await within(idle_reader.read()) == b"", "the shutdown begins to drain"
+            await asyncio.sleep(0.3)
+            writer.write(chat_request()[cut:])
+            first, headers, _ = await within(read_message(reader))
+            assert first.split()[1] == "503" and headers["connection"] == "close"
+            writer.close()
+            assert await within(program.process.wait()) == 0
+            assert not program.prefill_server.named("POST /v1/chat")
+
+    run(test())
+
+
 def test_sigterm_relays_a_stream_to_its_end_though_its_client_sent_more(tmp_path):
     started, resume = asyncio.Event(), asyncio.Event()
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -224,3 +224,33 @@
         listener.close()
 
     asyncio.run(test())
+
+
+# Guards against a request that counts as complete since its head arrived, though its body came later.
+def test_the_arrival_of_a_queued_request_is_that_of_its_last_byte():
+    async def test():
+        loop, release, arrivals = asyncio.get_running_loop(), asyncio.Event(), {}
+
+        async def handle(request):
+            await release.wait()
+            body = await request.read()
+            arrivals[request.path] = HttpServer.request_arrival(request)
+            return web.Response(body=body)
+
+        server = HttpServer(handle, None, *limits(5, 5, 500))
+        listener = await loop.create_server(server, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+        writer.write(b"GET /first HTTP/1.1\r\nHost: h\r\n\r\n")
+        writer.write(b"POST /second HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nla")
+        await _until(lambda: server.connections and server.connections[0]._request_count == 2)
+        before = loop.time()
+        writer.write(b"ter")
+        await _until(lambda: server.connections[0]._input.buffer)
+        release.set()
+        await asyncio.wait_for(reader.readuntil(b"later"), 10)
+        assert arrivals["/first"].received_at < before <= arrivals["/second"].received_at
+        assert arrivals["/second"].earliest <= arrivals["/second"].received_at
+        writer.close()
+        listener.close()
+
+    asyncio.run(test())
