One owner decides a client's answer, so that no stream follows a refusal

Cause: the lifecycle refuses a request one timer resolution before the deadline, the attempt runs until 5 ms after it, and ResponseRelay wrote its response to the client though the lifecycle had ignored its start.

Change: ClientAnswer is PENDING, then COMPLETE (the router's own) or RELAYING for the attempt that claims it. Who comes second writes nothing and reads its response to the end (log event response_discarded). KServe takes status and headers from the response that claimed the answer. The lifecycle gives no answer of its own once a response has started.

--- a/llm_router/frontends/kserve/proxied_request.py
+++ b/llm_router/frontends/kserve/proxied_request.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Mapping
 from datetime import timedelta
 
@@ -14,6 +13,7 @@
 from llm_router.lifecycle.effects import OpenAttempt
 from llm_router.lifecycle.events import RequestReceived
 from llm_router.routing.events import AttemptStatus
+from llm_router.transport.client_answer import ClientAnswer
 from llm_router.transport.counted_response import CountedResponse
 from llm_router.transport.frontend_protocol import ResponseHead, ResponseTail, UpstreamRequest
 from llm_router.transport.memory_budget import MemoryShare
@@ -44,9 +44,7 @@
         return UpstreamRequest("POST", self._path, self._headers, self._body)
 
     def read_head(self, status: int, headers: Mapping[str, str], body: bytes) -> ResponseHead:  # noqa: ARG002 - body not needed
-        """Interpret the status and headers of a response, and store them for the answer to the client."""
-        self.sink.status = status
-        self.sink.headers = _forwarded_headers(headers)
+        """Interpret the status and headers of a response."""
         return parse_head(status, headers)
 
     def read_tail(self, tail: bytes) -> ResponseTail:  # noqa: ARG002 - v2 endpoints report no cached tokens
@@ -55,16 +53,15 @@
 
     def reject(self, retry_after: timedelta) -> None:
         """Answer the client that its request was not run, and when it may be retried."""
-        self.sink.answer(error_response(503, "refused: try again later", retry_after))
+        self.sink.answer.give(error_response(503, "refused: try again later", retry_after))
 
     def fail(self, id_conflict: bool) -> None:
         """Answer that the request failed, or that a request with its id is running or may have run."""
         if id_conflict:
-            self.sink.answer(error_response(409, "a request with this id is running or may have run"))
+            response = error_response(409, "a request with this id is running or may have run")
         else:
-            self.sink.answer(
-                error_response(502, "failed: the request may have run, or its deadline has passed")
-            )
+            response = error_response(502, "failed: the request may have run, or its deadline has passed")
+        self.sink.answer.give(response)
 
 
 class BufferedResponseSink:
@@ -73,9 +70,9 @@
     buffered = True
 
     def __init__(self) -> None:
-        self.done: asyncio.Future[web.StreamResponse] = asyncio.get_running_loop().create_future()
-        self.status = 200
-        self.headers: dict[str, str] = {}
+        self.answer = ClientAnswer()
+        self._status = 200
+        self._headers: dict[str, str] = {}
         self._data = b""
         self._share: MemoryShare | None = None
 
@@ -83,18 +80,20 @@
         """Take over the share that counts the response."""
         self._share = share
 
-    def is_complete(self, data: bytes) -> bool:
-        """Return whether the data is a complete response.
+    def is_complete(self, headers: Mapping[str, str], data: bytes) -> bool:
+        """Return whether the data is the complete body of a response.
 
         A response without a Content-Length ends when its connection closes, so its JSON must be parsed."""
         try:
-            parse_inference_header(self.headers, data)
+            parse_inference_header(headers, data)
         except InvalidRequestError:
             return False
         return True
 
-    async def start(self) -> None:
-        """Do nothing: `finish` sends the head together with the data."""
+    async def start(self, status: int, headers: Mapping[str, str]) -> None:
+        """Store the response's head, which `finish` sends together with the data."""
+        self._status = status
+        self._headers = _forwarded_headers(headers)
 
     async def write(self, data: bytes) -> None:
         """Store the response's data, which arrives as one piece."""
@@ -103,16 +102,12 @@
     async def finish(self) -> None:
         """Send the buffered response to the client."""
         assert self._share is not None, "a response is counted before it is sent"
-        self.answer(CountedResponse(self._share, status=self.status, headers=self.headers, body=self._data))
+        response = CountedResponse(self._share, status=self._status, headers=self._headers, body=self._data)
+        self.answer.complete(response)
 
     def abort(self) -> None:
         """Answer the client that the endpoint's response was incomplete."""
-        self.answer(error_response(502, "the response of the endpoint was incomplete"))
-
-    def answer(self, response: web.Response) -> None:
-        """Set the final answer, unless it is already set."""
-        if not self.done.done():
-            self.done.set_result(response)
+        self.answer.complete(error_response(502, "the response of the endpoint was incomplete"))
 
 
 def parse_head(status: int, headers: Mapping[str, str]) -> ResponseHead:
--- a/llm_router/frontends/platform/proxied_request.py
+++ b/llm_router/frontends/platform/proxied_request.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Mapping
 from datetime import timedelta
 
@@ -28,10 +27,9 @@
         self._body = body
         self._method, self._path = request.method, request_target(request)
         self._content_type = request.headers.get("Content-Type", "application/json")
-        self._done: asyncio.Future[web.StreamResponse] = asyncio.get_running_loop().create_future()
         self._response = StreamedResponse(headers=STREAM_HEADERS)
         self._response.enable_chunked_encoding()
-        self.sink = EventStreamSink(request, self._response, self._done)
+        self.sink = EventStreamSink(request, self._response)
 
     def close_connection_after_response(self) -> None:
         """Close the client's connection after the response."""
@@ -53,16 +51,12 @@
     def reject(self, retry_after: timedelta) -> None:
         """Answer the client that its request was not run, and when it may be retried."""
         headers = {"Retry-After": format_retry_after(retry_after)}
-        self._answer(web.Response(status=503, headers=headers, text="refused\n"))
+        self.sink.answer.give(web.Response(status=503, headers=headers, text="refused\n"))
 
     def fail(self, id_conflict: bool) -> None:
         """Answer that the request failed, or that another request with the same id is running."""
-        self._answer(
+        self.sink.answer.give(
             plain_text_error(409, "a request with this id is running")
             if id_conflict
             else plain_text_error(502, "failed")
         )
-
-    def _answer(self, response: web.Response) -> None:
-        if not self._done.done():
-            self._done.set_result(response)
--- a/llm_router/frontends/request_handling.py
+++ b/llm_router/frontends/request_handling.py
@@ -42,7 +42,7 @@
     runtime.proxied_requests[request_id] = request
     try:
         runtime.feed(request.received)
-        answer: web.StreamResponse = await request.sink.done
+        answer: web.StreamResponse = await request.sink.answer.done
     except BaseException:
         runtime.feed(ClientDisconnected(request_id))
         raise
--- a/llm_router/lifecycle/final_answers.py
+++ b/llm_router/lifecycle/final_answers.py
@@ -20,7 +20,7 @@
 def reject_request(
     state: RouterState, now: timedelta, action: routing_actions.RejectRequest
 ) -> Iterator[effects.Effect]:
-    """Answer a request with a rejection, unless the request is closed."""
+    """Answer a request with a rejection, unless it has another answer."""
     retry_after = to_timedelta(action.retry_after)
     answer = effects.SendRejection(action.request_id, retry_after, action.reason.value)
     yield from _answer(state, now, action, answer, metric="rejected", log_event="request_rejected")
@@ -29,7 +29,7 @@
 def fail_request(
     state: RouterState, now: timedelta, action: routing_actions.FailRequest
 ) -> Iterator[effects.Effect]:
-    """Answer a request with a failure, unless the request is closed."""
+    """Answer a request with a failure, unless it has another answer."""
     answer = effects.SendFailure(action.request_id, action.reason.value)
     yield from _answer(state, now, action, answer, metric="failed", log_event="request_failed")
 
@@ -43,9 +43,9 @@
     metric: str,
     log_event: str,
 ) -> Iterator[effects.Effect]:
-    """Close a request and send its final answer, and count and log it; do nothing if it is closed."""
+    """Close a request and send its final answer, and count and log it, unless it has another answer."""
     request = state.requests.get(action.request_id)
-    if request is None or request.is_closed:
+    if request is None or not request.is_pending:
         return
     request.change(RequestChange.CLOSED)
     state.metrics.add(metric, now - request.accepted_at)
--- a/llm_router/transport/client_input.py
+++ b/llm_router/transport/client_input.py
@@ -13,7 +13,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Arrival:
+class ArrivalTime:
     """The loop times between which bytes from a client have arrived."""
 
     earliest: float
@@ -25,7 +25,7 @@
     """Bytes from a client, and their arrival."""
 
     data: bytes
-    arrival: Arrival
+    arrival: ArrivalTime
 
 
 class InputBuffer:
--- a/llm_router/transport/event_stream.py
+++ b/llm_router/transport/event_stream.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import re
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Mapping
 
 from aiohttp import web
 
 from llm_router.configuration import MAX_BODY_BYTES
+from llm_router.transport.client_answer import ClientAnswer
 
 MAX_EVENT_SIZE = 64 * 1024  # maximum bytes of one event
 EVENT_LINES = re.compile(rb"(?:(?:(?:data|event|id|retry)?:[^\n]*|\r?)\n)*")
@@ -41,15 +41,10 @@
 
     buffered = False
 
-    def __init__(
-        self,
-        request: web.BaseRequest,
-        response: StreamedResponse,
-        done: asyncio.Future[web.StreamResponse],
-    ) -> None:
+    def __init__(self, request: web.BaseRequest, response: StreamedResponse) -> None:
         self.request = request
         self.response = response
-        self.done = done
+        self.answer = ClientAnswer()
         self.reset()
 
     def reset(self) -> None:
@@ -87,8 +82,8 @@
             raise ValueError("stream ends with a line that is not a valid server-sent event field")
         return events
 
-    async def start(self) -> None:
-        """Send the response head."""
+    async def start(self, _status: int, _headers: Mapping[str, str]) -> None:
+        """Send the response head, which is the same for all streams."""
         await self._ignore_disconnect(self.response.prepare(self.request))
 
     async def write(self, data: bytes) -> None:
@@ -98,16 +93,12 @@
     async def finish(self) -> None:
         """Send the end of the stream, which completes the final answer."""
         await self._ignore_disconnect(self.response.write_eof())
-        self._set_done()
+        self.answer.complete(self.response)
 
     def abort(self) -> None:
         """Close the client's connection in the middle of the stream, which ends the final answer."""
         self.response.abort(self.request)
-        self._set_done()
-
-    def _set_done(self) -> None:
-        if not self.done.done():
-            self.done.set_result(self.response)
+        self.answer.complete(self.response)
 
     @staticmethod
     async def _ignore_disconnect(write: Awaitable[object]) -> None:
--- a/llm_router/transport/frontend_protocol.py
+++ b/llm_router/transport/frontend_protocol.py
@@ -4,15 +4,15 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Any, Protocol
+from typing import Protocol
 
 from llm_router.lifecycle.effects import OpenAttempt
 from llm_router.lifecycle.events import RequestReceived
 from llm_router.routing.events import NO_REPORT, AttemptStatus, LoadReport
+from llm_router.transport.client_answer import ClientAnswer
 from llm_router.transport.memory_budget import MemoryShare
 
 
@@ -56,20 +56,20 @@
         """Whether the response is relayed as a whole when it is complete, rather than event by event."""
 
     @property
-    def done(self) -> asyncio.Future[Any]:
-        """The future of the final answer, which is set when the client's handler may return it."""
+    def answer(self) -> ClientAnswer:
+        """The client's answer; whoever relays a response must claim it before `start`."""
 
-    async def start(self) -> None:
-        """Send the head of the response to the client."""
+    async def start(self, status: int, headers: Mapping[str, str]) -> None:
+        """Send the head of a response with this status and these headers to the client."""
 
     async def write(self, data: bytes) -> None:
         """Send a part of the response's body to the client."""
 
     async def finish(self) -> None:
-        """Send the end of the response to the client, and set `done`."""
+        """Send the end of the response to the client, which completes the answer."""
 
     def abort(self) -> None:
-        """End a started response so that the client can tell it is incomplete, and set `done`."""
+        """End a started response so that the client can tell it is incomplete, which completes the answer."""
 
 
 class StreamSink(ResponseSink, Protocol):
@@ -97,8 +97,8 @@
     def count(self, share: MemoryShare) -> None:
         """Take over the share that counts the response; release it once the response is sent or dropped."""
 
-    def is_complete(self, data: bytes) -> bool:
-        """Return whether the data is a complete response."""
+    def is_complete(self, headers: Mapping[str, str], data: bytes) -> bool:
+        """Return whether the data is the complete body of a response with these headers."""
 
 
 class ProxiedRequest(Protocol):
--- a/llm_router/transport/http_server.py
+++ b/llm_router/transport/http_server.py
@@ -19,7 +19,7 @@
 
 from llm_router import log
 from llm_router.transport.client_connection import ClientConnection
-from llm_router.transport.client_input import Arrival
+from llm_router.transport.client_input import ArrivalTime
 from llm_router.transport.clock import to_seconds
 from llm_router.transport.listener import Listener
 from llm_router.transport.memory_budget import MemoryBudget
@@ -32,9 +32,9 @@
 NEW_CONNECTION_AGE = timedelta(seconds=0.3)
 
 # Key under which a request stores the arrival of its last byte, or None if its body was not yet complete.
-ARRIVAL: web.RequestKey[Arrival | None] = web.RequestKey(
+ARRIVAL: web.RequestKey[ArrivalTime | None] = web.RequestKey(
     "arrival",
-    Arrival | None,  # type: ignore[arg-type]  # aiohttp uses the type only in the key's repr.
+    ArrivalTime | None,  # type: ignore[arg-type]  # aiohttp uses the type only in the key's repr.
 )
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -146,7 +146,7 @@
         return connection.has_served, not connection.is_idle, connection.idle_since
 
     @staticmethod
-    def request_arrival(request: web.BaseRequest) -> Arrival:
+    def request_arrival(request: web.BaseRequest) -> ArrivalTime:
         """Return the arrival of the last byte of a complete request."""
         return request[ARRIVAL] or cast(ClientConnection, request.protocol).last_arrival
 
--- a/llm_router/transport/limited_request_handler.py
+++ b/llm_router/transport/limited_request_handler.py
@@ -13,7 +13,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
-from llm_router.transport.client_input import Arrival, ClientInput, ReceivedPiece
+from llm_router.transport.client_input import ArrivalTime, ClientInput, ReceivedPiece
 from llm_router.transport.event_loop import input_since, limit_receive_size, select_count
 from llm_router.transport.memory_budget import MemoryShare
 
@@ -59,11 +59,11 @@
         # Compressed bodies are left as they are: a small one could expand past the limits.
         super().__init__(manager, read_bufsize=PARSE_SIZE, auto_decompress=False, **settings)
         now = self._loop.time()
-        self.last_arrival = Arrival(now, now)  # arrival of the last parsed bytes
+        self.last_arrival = ArrivalTime(now, now)  # arrival of the last parsed bytes
         # Time at which the first bytes of an incomplete request head were read.
         self.partial_head_since: float | None = None
-        # Arrival of each queued request head, by the message's id().
-        self._head_arrivals: dict[int, Arrival] = {}
+        # ArrivalTime of each queued request head, by the message's id().
+        self._head_arrivals: dict[int, ArrivalTime] = {}
         self._first_select_count = 0
         self._answered_requests = 0
         self._buffers_input = False  # Whether aiohttp has paused reading.
@@ -107,7 +107,7 @@
         super().connection_made(transport)
         self._first_select_count = select_count(self._loop)
         if self._manager is not None:
-            self.last_arrival = Arrival(self._manager.waiting_since(transport), self._loop.time())
+            self.last_arrival = ArrivalTime(self._manager.waiting_since(transport), self._loop.time())
 
     def data_received(self, data: bytes) -> None:
         """Process bytes that the event loop has received.
@@ -121,7 +121,7 @@
         selects = select_count(self._loop) - self._first_select_count
         is_first = not self._request_count and selects <= FIRST_INPUT_SELECTS
         earliest = self.last_arrival.earliest if is_first else input_since(self._loop)
-        piece = ReceivedPiece(data, Arrival(earliest, self._loop.time()))
+        piece = ReceivedPiece(data, ArrivalTime(earliest, self._loop.time()))
         if self._buffers_input or self._held_input().buffer:
             self._held_input().buffer.append(piece)
         else:
@@ -143,7 +143,7 @@
         """Return the number of bytes to parse at once; the rest of a body of known size is one slice."""
         return max(PARSE_SIZE, self._body_size - self._body.total_bytes)
 
-    def _parse_slice(self, data: bytes, arrival: Arrival) -> None:
+    def _parse_slice(self, data: bytes, arrival: ArrivalTime) -> None:
         """Parse some bytes with this arrival."""
         body, had_body = self._body, not self._body.is_eof()
         self._feed_parser(data, arrival)
@@ -151,7 +151,7 @@
             # The parser stops after each complete request, also after one whose handler is running.
             self._feed_parser(b"", arrival)
 
-    def _feed_parser(self, data: bytes, arrival: Arrival) -> None:
+    def _feed_parser(self, data: bytes, arrival: ArrivalTime) -> None:
         """Pass bytes to the parser, and record which of them belong to heads."""
         requests_before, body_before = self._request_count, self._body.total_bytes
         if data:
@@ -219,7 +219,7 @@
             self._input.fits_in_memory()
         super()._resume_transport_reading()
 
-    def start_request(self, message: object) -> Arrival:
+    def start_request(self, message: object) -> ArrivalTime:
         """Remove and return the arrival of the head of a request whose turn has come.
 
         This gives back the memory of the previous head, which aiohttp has kept until now."""
--- a/llm_router/transport/response_relay.py
+++ b/llm_router/transport/response_relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import cast
@@ -11,6 +12,7 @@
 import aiohttp
 
 from llm_router import log
+from llm_router.configuration import MAX_BODY_BYTES
 from llm_router.lifecycle import effects, events
 from llm_router.routing.events import AttemptStatus
 from llm_router.transport.clock import to_seconds
@@ -81,7 +83,7 @@
     async def _relay_stream(
         self, effect: effects.OpenAttempt, sink: StreamSink, response: aiohttp.ClientResponse
     ) -> RelayResult:
-        """Relay a stream event by event.
+        """Relay a stream event by event, unless the client has another answer when its first event comes.
 
         If the stream fails after its first event was sent, the client's connection is closed as well."""
         sink.reset()
@@ -97,6 +99,8 @@
             if progress.started:
                 sink.abort()
             return RelayResult(self._status_of(effect, error), progress.tail)
+        if not progress.started:
+            return await self._discard(effect, response)
         await sink.finish()
         return RelayResult(AttemptStatus.OK, progress.tail)
 
@@ -107,7 +111,9 @@
         response: aiohttp.ClientResponse,
         progress: StreamProgress,
     ) -> None:
-        """Relay each event once it is complete and valid, so that no malformed event reaches the client."""
+        """Relay each event once it is complete and valid, so that no malformed event reaches the client.
+
+        Stop at the first event if the client has another answer."""
         is_last = False
         while not is_last:
             async with asyncio.timeout(to_seconds(EVENT_TIMEOUT) if progress.started else None):
@@ -119,14 +125,33 @@
             if not data:
                 continue
             if not progress.started:
+                if not sink.answer.claim():
+                    return
                 progress.started = True
                 self._feed(events.ResponseStarted(effect.request_id, effect.attempt))
-                await sink.start()
+                await sink.start(response.status, response.headers)
             progress.tail = (progress.tail + data)[-TAIL_SIZE:]
             await sink.write(data)
         if not progress.started:
             raise MalformedResponseError("the stream ended without an event")
 
+    @staticmethod
+    async def _discard(effect: effects.OpenAttempt, response: aiohttp.ClientResponse) -> RelayResult:
+        """Read a response that the client does not get, to its end or until the attempt is aborted.
+
+        Where attempts must not be cancelled, one may still run when its request has another answer. Closing
+        its connection would cancel it."""
+        log.emit_rate_limited("response_discarded", endpoint=effect.endpoint.name, request=effect.request_id)
+        size = 0
+        with suppress(*CONNECTION_ERRORS):
+            while size <= MAX_BODY_BYTES:
+                async with asyncio.timeout(to_seconds(EVENT_TIMEOUT)):
+                    piece = await response.content.readany()
+                if not piece:
+                    break
+                size += len(piece)
+        return RelayResult(AttemptStatus.CANCELLED)
+
     @staticmethod
     async def _read_events(sink: StreamSink, response: aiohttp.ClientResponse) -> StreamPiece:
         """Read until an event is complete or the stream ends.
@@ -162,12 +187,15 @@
             return RelayResult(AttemptStatus.RESET)
         if data is None:
             return RelayResult(AttemptStatus.ERROR)
-        if not sink.is_complete(data):
+        if not sink.is_complete(response.headers, data):
             share.release()
             return RelayResult(AttemptStatus.RESET)
+        if not sink.answer.claim():
+            share.release()
+            return await self._discard(effect, response)
         sink.count(share)
         self._feed(events.ResponseStarted(effect.request_id, effect.attempt))
-        await sink.start()
+        await sink.start(response.status, response.headers)
         await sink.write(data)
         await sink.finish()
         return RelayResult(AttemptStatus.OK, data)
--- a/tests/transport/test_response_memory.py
+++ b/tests/transport/test_response_memory.py
@@ -24,7 +24,7 @@
             raise piece
         return piece
 
-    return SimpleNamespace(content=SimpleNamespace(readany=readany))
+    return SimpleNamespace(status=200, headers={}, content=SimpleNamespace(readany=readany))
 
 
 def is_free(budget):
@@ -56,10 +56,11 @@
         assert not is_free(budget)
         assert await ResponseRelay._read_body(response(PIECE, b""), MemoryShare(budget)) is None
         sink = BufferedResponseSink()
+        assert sink.answer.claim()
         sink.count(share)
         await sink.write(data)
         await sink.finish()
-        assert sink.done.result().body == data and not is_free(budget)
+        assert sink.answer.done.result().body == data and not is_free(budget)
         del sink
         assert is_free(budget)
 
