Answer all requests that were received before a shutdown closes their connection

Cause: finish_response closed every connection behind its response while the server drained, and has_open_requests left out connections that accept no more input.

Change: a connection closes once no input is behind the answer, or 3 s after SIGTERM. Each request is served or rejected by the time at which it was received. A stream announces the close when it starts; what comes behind it is rejected. The rejection for want of capacity keeps the connection if requests are behind it.

One test expected nothing behind a stream though 300 KB of noise had been received; it now expects the 400 that is owed, then the end, no reset.

--- a/llm_router/frontends/kserve/frontend.py
+++ b/llm_router/frontends/kserve/frontend.py
@@ -114,7 +114,7 @@
         """Run an inference, or reject it if its body exceeds the free memory for request bodies."""
         with self.server.reserved_body(request) as is_reserved:
             if not is_reserved:
-                return overloaded_response()
+                return overloaded_response(close=True)
             return await self._infer(runtime, request)
 
     async def _infer(self, runtime: Runtime, request: web.BaseRequest) -> web.StreamResponse:
@@ -129,9 +129,9 @@
         except InvalidRequestError as error:
             return error_response(400, str(error), close=True)
         if self.server.arrived_too_late(request):
-            return overloaded_response()
+            return overloaded_response(close=not self.server.has_input_behind(request))
         await self.server.detect_disconnect(request)
         if len(runtime.proxied_requests) >= self.config.max_open_requests:
-            return overloaded_response()
+            return overloaded_response(close=not self.server.has_input_behind(request))
         received = subtract_queueing_delay(received, self.server.queueing_delay(request))
         return await run_request(runtime, KServeRequest(request, received, body))
--- a/llm_router/frontends/kserve/responses.py
+++ b/llm_router/frontends/kserve/responses.py
@@ -33,6 +33,8 @@
     return response
 
 
-def overloaded_response() -> web.Response:
-    """Return the rejection of a request that would exceed a resource limit."""
-    return error_response(503, "the router is overloaded", OVERLOADED_BACKOFF, close=True)
+def overloaded_response(close: bool) -> web.Response:
+    """Return the rejection of a request that would exceed a resource limit, or that comes too late.
+
+    `close` closes the connection after it."""
+    return error_response(503, "the router is overloaded", OVERLOADED_BACKOFF, close)
--- a/llm_router/frontends/platform/frontend.py
+++ b/llm_router/frontends/platform/frontend.py
@@ -44,7 +44,7 @@
             return plain_text_error(400, str(error), close=True)
         with self.server.reserved_body(request) as is_reserved:
             if not is_reserved:
-                return _overloaded()
+                return _overloaded(close=True)
             return await self._chat(request, received)
 
     async def _chat(self, request: web.BaseRequest, received: RequestReceived) -> web.StreamResponse:
@@ -55,16 +55,14 @@
         if body_problem := _find_body_problem(body):
             return plain_text_error(400, body_problem, close=True)
         if self.server.arrived_too_late(request):
-            return _overloaded()
+            return _overloaded(close=not self.server.has_input_behind(request))
         await self.server.detect_disconnect(request)
         if received.request_id in self.runtime.proxied_requests:
             return plain_text_error(409, "a request with this id is running")
         if len(self.runtime.proxied_requests) >= self.config.max_open_requests:
-            return _overloaded()
+            return _overloaded(close=not self.server.has_input_behind(request))
         received = subtract_queueing_delay(received, self.server.queueing_delay(request))
-        proxied_request = PlatformRequest(request, received, body)
-        if self.server.shutting_down:
-            proxied_request.close_connection_after_response()
+        proxied_request = PlatformRequest(request, received, body, lambda: self.server.closes_after(request))
         return await run_request(self.runtime, proxied_request)
 
 
@@ -77,8 +75,10 @@
     return None if isinstance(value, dict) else "the body must be a JSON object"
 
 
-def _overloaded() -> web.Response:
-    """Return the rejection of a request that would exceed a resource limit."""
-    response = web.Response(status=503, headers={"Retry-After": "1"}, text="the router is overloaded\n")
-    response.force_close()
+def _overloaded(close: bool) -> web.Response:
+    """Return the rejection of a request that would exceed a resource limit, or that comes too late.
+
+    `close` closes the connection after it."""
+    response = plain_text_error(503, "the router is overloaded", close)
+    response.headers["Retry-After"] = "1"
     return response
--- a/llm_router/frontends/platform/proxied_request.py
+++ b/llm_router/frontends/platform/proxied_request.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 
 from aiohttp import web
@@ -22,18 +22,20 @@
 class PlatformRequest:
     """A client request in the platform's protocol; its response is a stream of events."""
 
-    def __init__(self, request: web.BaseRequest, received: RequestReceived, body: bytes) -> None:
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        received: RequestReceived,
+        body: bytes,
+        closes_after: Callable[[], bool],
+    ) -> None:
         self.received = received
         self._body = body
         self._method, self._path = request.method, request_target(request)
         self._content_type = request.headers.get("Content-Type", "application/json")
         self._response = StreamedResponse(headers=STREAM_HEADERS)
         self._response.enable_chunked_encoding()
-        self.sink = EventStreamSink(request, self._response)
-
-    def close_connection_after_response(self) -> None:
-        """Close the client's connection after the response."""
-        self._response.force_close()
+        self.sink = EventStreamSink(request, self._response, closes_after)
 
     def upstream_request(self, effect: OpenAttempt) -> UpstreamRequest:  # noqa: ARG002 - same request for every endpoint
         """Return the request to send to an endpoint."""
--- a/llm_router/transport/client_connection.py
+++ b/llm_router/transport/client_connection.py
@@ -14,6 +14,7 @@
 
 from llm_router import log
 from llm_router.transport.clock import to_seconds
+from llm_router.transport.event_stream import StreamedResponse
 from llm_router.transport.limited_request_handler import LimitedRequestHandler
 
 if TYPE_CHECKING:
@@ -57,12 +58,15 @@
         "_state",
         "has_served",
         "idle_since",
+        "rejects_requests",
     )
 
     def __init__(self, manager: HttpServer, **settings: Any) -> None:  # noqa: ANN401  # aiohttp's settings
         super().__init__(manager, **settings)
         self._state = ConnectionState.OPEN
         self.has_served = False  # Whether any request on this connection was answered.
+        # Whether further requests are rejected, because a response has announced the close of the connection.
+        self.rejects_requests = False
         self.idle_since = self._loop.time()  # time of the last response, or of the connection's start
         self._linger_timer: asyncio.TimerHandle | None = None
 
@@ -72,6 +76,13 @@
             raise RuntimeError(f"client connection: no transition from {self._state} to {state}")
         self._state = state
 
+    @property
+    def has_open_requests(self) -> bool:
+        """Whether a request or a part of one was received that will be answered."""
+        if self._state is ConnectionState.LINGERING:
+            return False
+        return not self.all_answered or (self.accepts_input and not self.is_idle)
+
     def on_input_rejected(self) -> None:
         """Record that an error response is pending, after which the connection closes."""
         self._enter(ConnectionState.INPUT_REJECTED)
@@ -106,14 +117,27 @@
         resp, reset = await super().finish_response(request, resp, start_time)
         self.idle_since = self._loop.time()
         self.has_served = True
+        self._decide_close(resp)
         self._answered_requests += 1
-        if self._manager and self._manager.draining:
-            resp.force_close()
         if not reset and not resp.keep_alive and self.transport is not None and self._manager:
             self.linger()
             await asyncio.sleep(to_seconds(LINGER_TIMEOUT))
         return resp, reset
 
+    def _decide_close(self, response: web.StreamResponse) -> None:
+        """Decide in a shutdown whether the connection closes after a response.
+
+        A stream may have announced the close when nothing was behind it. Requests that have come since are
+        rejected, because their client may send them again on another connection."""
+        if self._manager is None:
+            return
+        if self._manager.may_close(self):
+            if self._manager.draining:
+                response.force_close()
+        elif isinstance(response, StreamedResponse) and response.announces_close:
+            self.rejects_requests = True
+            response.keep_open()
+
     def force_close(self) -> None:
         """Close the connection; log an invariant violation if a request is unanswered."""
         if not self.all_answered and self.transport is not None and not self.transport.is_closing():
--- a/llm_router/transport/event_stream.py
+++ b/llm_router/transport/event_stream.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Awaitable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 from aiohttp import web
 
@@ -19,6 +19,16 @@
     """A streamed response to a client; after an abort the final chunk is never sent."""
 
     aborted = False
+    announces_close = False  # Whether the head tells the client that its connection closes.
+
+    def announce_close(self) -> None:
+        """Tell the client in the head that its connection closes after the stream."""
+        self.announces_close = True
+        self.force_close()
+
+    def keep_open(self) -> None:
+        """Keep the client's connection open after the stream, although its close was announced."""
+        self._keep_alive = True  # aiohttp has no public way back.
 
     def abort(self, request: web.BaseRequest) -> None:
         """Close the client's connection in the middle of the stream."""
@@ -41,9 +51,13 @@
 
     buffered = False
 
-    def __init__(self, request: web.BaseRequest, response: StreamedResponse) -> None:
+    def __init__(
+        self, request: web.BaseRequest, response: StreamedResponse, closes_after: Callable[[], bool]
+    ) -> None:
         self.request = request
         self.response = response
+        # Returns whether the client's connection closes after the stream, as far as it is known now.
+        self._closes_after = closes_after
         self.answer = ClientAnswer()
         self.reset()
 
@@ -84,6 +98,8 @@
 
     async def start(self, _status: int, _headers: Mapping[str, str]) -> None:
         """Send the response head, which is the same for all streams."""
+        if self._closes_after():
+            self.response.announce_close()
         await self._ignore_disconnect(self.response.prepare(self.request))
 
     async def write(self, data: bytes) -> None:
--- a/llm_router/transport/frontend_server.py
+++ b/llm_router/transport/frontend_server.py
@@ -19,6 +19,7 @@
     Handler,
     HttpServer,
     ServerLimits,
+    client_connection,
 )
 from llm_router.transport.listener import open_listener
 from llm_router.transport.memory_budget import MemoryBudget, MemoryShare
@@ -75,7 +76,11 @@
         return self._shutdown.phase is not ShutdownPhase.SERVING
 
     def arrived_too_late(self, request: web.BaseRequest) -> bool:
-        """Whether a complete request arrived so late in the shutdown that its response might be cut off."""
+        """Whether a complete request came so late in the shutdown that it must be rejected.
+
+        Its response might be cut off, or its client has been told that the connection closes."""
+        if client_connection(request).rejects_requests:
+            return True
         return self._shutdown.is_too_late(HttpServer.request_arrival(request).received_at)
 
     def apply_limits(self, limits: ResourceLimits) -> None:
@@ -91,7 +96,7 @@
         self.acceptor = Acceptor(listener, self.http_server, ACCEPT_BATCH_SIZE)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Serve a request; during shutdown close its connection after the response."""
+        """Serve a request; during shutdown close its connection once all that was received is answered."""
         self.open_requests += 1
         try:
             response = await self._handler(request)
@@ -101,10 +106,20 @@
             response = self._error_response(500, "internal error of the conductor")
         finally:
             self.open_requests -= 1
-        if self.shutting_down and not response.prepared:
+        if not response.prepared and self.closes_after(request):
             response.force_close()
         return response
 
+    def has_input_behind(self, request: web.BaseRequest) -> bool:
+        """Return whether further requests, or a part of one, were received on the connection of a request."""
+        return client_connection(request).has_input_behind
+
+    def closes_after(self, request: web.BaseRequest) -> bool:
+        """Return whether the connection of a request closes after its answer.
+
+        This is the case during shutdown, unless input was received behind the request."""
+        return self.shutting_down and self.http_server.may_close(client_connection(request))
+
     @staticmethod
     def queueing_delay(request: web.BaseRequest) -> timedelta:
         """Return how long a complete request may have been queued since its last byte arrived."""
--- a/llm_router/transport/http_server.py
+++ b/llm_router/transport/http_server.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import functools
+import math
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
@@ -50,6 +51,11 @@
     max_body_size: int
 
 
+def client_connection(request: web.BaseRequest) -> ClientConnection:
+    """Return the connection of a request."""
+    return cast(ClientConnection, request.protocol)
+
+
 class HttpServer(web.Server):
     """An HTTP server that limits client connections and closes idle ones to accept new ones.
 
@@ -78,6 +84,7 @@
         self.max_body_size = limits.max_body_size
         self.input_memory = input_memory
         self.draining = False
+        self._answer_input_until = math.inf
         self.lingering: OrderedDict[ClientConnection, None] = OrderedDict()
         self._rejected = RejectedConnections(limits.max_rejected)
 
@@ -148,22 +155,30 @@
     @staticmethod
     def request_arrival(request: web.BaseRequest) -> ArrivalTime:
         """Return the arrival of the last byte of a complete request."""
-        return request[ARRIVAL] or cast(ClientConnection, request.protocol).last_arrival
+        return request[ARRIVAL] or client_connection(request).last_arrival
 
     def request_awaited_since(self, request: web.BaseRequest) -> float:
         """Return the loop time from which the timeout of a request body counts.
 
         It is the connection's start for the first request, and the current time for later ones."""
-        connection = cast(ClientConnection, request.protocol)
+        connection = client_connection(request)
         return self._loop.time() if connection.has_served else connection.idle_since
 
     @property
     def has_open_requests(self) -> bool:
         """Whether a connection has an unanswered or partial request."""
-        return any(each.accepts_input and not each.is_idle for each in self._clients())
+        return any(each.has_open_requests for each in self._clients())
+
+    def may_close(self, connection: ClientConnection) -> bool:
+        """Return whether a connection may close after the request that is being answered."""
+        return not connection.has_input_behind or self._loop.time() > self._answer_input_until
+
+    def drain(self, answer_input_until: float = math.inf) -> None:
+        """Close the idle connections; each other one closes once the requests received on it are answered.
 
-    def drain(self) -> None:
-        """Close the idle connections; each other connection closes after its response."""
+        After the loop time `answer_input_until` each connection closes after its response, so that clients
+        that keep sending cannot delay the shutdown."""
+        self._answer_input_until = answer_input_until
         self.draining = True
         for connection in list(self._clients()):
             if connection.is_idle:
--- a/llm_router/transport/limited_request_handler.py
+++ b/llm_router/transport/limited_request_handler.py
@@ -90,6 +90,13 @@
         has_buffered = self._input is not None and self._input.buffer
         return self.all_answered and self.partial_head_since is None and not has_buffered
 
+    @property
+    def has_input_behind(self) -> bool:
+        """Whether input was received behind the request that is being answered."""
+        has_buffered = self._input is not None and self._input.buffer
+        unanswered = self._request_count - self._answered_requests
+        return unanswered > 1 or self.partial_head_since is not None or bool(has_buffered)
+
     def _held_input(self) -> ClientInput:
         """Return the record of the input that this connection holds."""
         if self._input is None:
--- a/llm_router/transport/shutdown.py
+++ b/llm_router/transport/shutdown.py
@@ -18,6 +18,9 @@
 # The platform may kill the process before their responses end, and such a response is lost if its request
 # came more than 0.7 s after SIGTERM. The difference covers a delay of the event loop.
 FORWARDING_PERIOD = timedelta(seconds=0.55)
+# Requests received behind others are answered until this time after SIGTERM.
+# The process may be killed soon after it.
+ANSWERING_PERIOD = timedelta(seconds=3)
 # Time limit for accepting the connections in the accept queue.
 ACCEPT_TIMEOUT = timedelta(milliseconds=300)
 # This time limit replaces ACCEPT_TIMEOUT while accept calls fail.
@@ -63,7 +66,7 @@
         await self._accept_queued(acceptor)
         acceptor.close()
         self.phase = ShutdownPhase.DRAINING
-        self._http_server.drain()
+        self._http_server.drain(self._requested_at + to_seconds(ANSWERING_PERIOD))
         while self._open_requests() or self._http_server.has_open_requests:
             await asyncio.sleep(POLL_INTERVAL)
         self.phase = ShutdownPhase.CLOSING
--- a/tests/frontends/test_kserve.py
+++ b/tests/frontends/test_kserve.py
@@ -252,3 +252,28 @@
             assert not server.named("POST")
 
     run(test())
+
+
+def test_requests_received_behind_another_before_sigterm_are_served(tmp_path):
+    resume = asyncio.Event()
+
+    async def serve_after_resume(call, writer):
+        await resume.wait()
+        await serve(call, writer)
+
+    async def test():
+        async with StandInServer(serve_after_resume) as server, sidecar(tmp_path, server) as program:
+            reader, writer = await program.connect()
+            writer.write(infer_request() + infer_request(request_id="second"))
+            await server.wait_for("POST")
+            program.process.terminate()
+            await program.wait_for_log("stopping")
+            await asyncio.sleep(0.7)  # The shutdown drains.
+            resume.set()
+            for _ in range(2):
+                assert (await within(read_message(reader)))[0].split()[1] == "200"
+            assert await within(reader.read()) == b""
+            writer.close()
+            assert await within(program.process.wait()) == 0
+
+    run(test())
--- a/tests/frontends/test_platform_shutdown.py
+++ b/tests/frontends/test_platform_shutdown.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 import signal
-from contextlib import suppress
+from contextlib import asynccontextmanager, suppress
 from socket import SO_ERROR, SOL_SOCKET
 
 import pytest
@@ -14,6 +14,7 @@
     USAGE,
     chat_request,
     chunk,
+    decode,
     hang,
     message,
     paused_stream,
@@ -140,8 +141,98 @@
             client.write(b"x" * 300_000)
             resume.set()
             assert (await within(read_message(answers)))[2] == EVENT * 201 + USAGE + DONE
+            assert (await within(read_message(answers)))[0].split()[1] == "400", (
+                "what came behind is malformed"
+            )
             assert await within(answers.read()) == b"", "the connection must be closed without a reset"
             client.close()
             assert await within(program.process.wait()) == 0
 
     run(test())
+
+
+@asynccontextmanager
+async def streaming_client(tmp_path, *behind):
+    """Run a router that relays the stream of the request "first", with the input `behind` received behind it.
+
+    The stream goes on once `resume` is set. Later requests are streamed at once."""
+    resume = asyncio.Event()
+    pause = paused_stream(resume)
+
+    async def pause_first(call, writer):
+        await (pause if call[1].get("x-correlation-id") == "first" else decode)(call, writer)
+
+    async with router_with_endpoints(tmp_path, decode=pause_first) as program:
+        idle_reader, _ = await program.connect()
+        reader, writer = await program.connect()
+        writer.write(b"".join([chat_request("first"), *behind]))
+        await program.decode_server.wait_for("POST /v1/chat")
+        program.process.send_signal(signal.SIGTERM)
+        assert await within(idle_reader.read()) == b"", "the shutdown begins to drain"
+        yield program, reader, writer, resume
+        writer.close()
+        assert await within(program.process.wait()) == 0
+
+
+async def read_statuses(reader):
+    """Read answers to the end of the connection, and return their statuses."""
+    statuses = []
+    while answer := await within(read_message(reader)):
+        statuses.append(answer[0].split()[1])
+    return statuses
+
+
+def forwarded(program):
+    return [call[1]["x-correlation-id"] for call in program.decode_server.named("POST /v1/chat")]
+
+
+# Guards against requests that were read behind another before SIGTERM and are closed with no answer.
+@pytest.mark.parametrize("garbage", [b"", b"nonsense\r\n\r\n"], ids=["requests", "garbage behind them"])
+def test_requests_received_behind_another_before_sigterm_are_served(tmp_path, garbage):
+    behind = chat_request("second"), chat_request("third"), garbage
+
+    async def test():
+        async with streaming_client(tmp_path, *behind) as (program, reader, _, resume):
+            resume.set()
+            assert await read_statuses(reader) == ["200"] * 3 + ["400"] * bool(garbage)
+            assert forwarded(program) == ["first", "second", "third"]
+
+    run(test())
+
+
+# Guards against requests that come late behind another and are closed with no answer, or forwarded.
+def test_requests_received_late_in_the_shutdown_behind_another_are_rejected(tmp_path):
+    async def test():
+        async with streaming_client(tmp_path) as (program, reader, writer, resume):
+            await asyncio.sleep(0.3)
+            writer.write(chat_request("second") + chat_request("third"))
+            await asyncio.sleep(0.1)
+            resume.set()
+            assert await read_statuses(reader) == ["200", "503", "503"]
+            assert forwarded(program) == ["first"]
+
+    run(test())
+
+
+# Guards against a request that gets no answer, or is run twice, behind a stream that announces the close.
+def test_a_request_behind_a_stream_that_announces_the_close_is_rejected(tmp_path):
+    resume = asyncio.Event()
+
+    async def test():
+        async with router_with_endpoints(tmp_path, decode=paused_stream(resume)) as program:
+            reader, writer = await program.connect()
+            program.process.send_signal(signal.SIGTERM)
+            await program.wait_for_log("stopping")
+            writer.write(chat_request("first"))
+            head = await within(reader.readuntil(b"\r\n\r\n"))
+            assert b"connection: close" in head.lower()
+            writer.write(chat_request("second"))
+            await asyncio.sleep(0.05)
+            resume.set()
+            await within(reader.readuntil(b"0\r\n\r\n"))
+            assert await read_statuses(reader) == ["503"]
+            writer.close()
+            assert await within(program.process.wait()) == 0
+            assert forwarded(program) == ["first"]
+
+    run(test())
--- a/tests/transport/test_client_answer.py
+++ b/tests/transport/test_client_answer.py
@@ -69,7 +69,7 @@
     """A sink that records what is written to the client, and pauses after the first write."""
 
     def __init__(self):
-        super().__init__(None, None)
+        super().__init__(None, None, lambda: False)
         self.written = []
         self.first_written, self.resume = asyncio.Event(), asyncio.Event()
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -254,3 +254,30 @@
         listener.close()
 
     asyncio.run(test())
+
+
+# Guards against clients that keep a shutdown from its end, because they always send another request.
+@pytest.mark.parametrize(("answers_input", "answers"), [(True, 3), (False, 1)])
+def test_input_behind_a_request_is_answered_in_a_shutdown_until_its_time_is_up(answers_input, answers):
+    async def test():
+        loop, begun, release = asyncio.get_running_loop(), asyncio.Event(), asyncio.Event()
+
+        async def handle(_request):
+            begun.set()
+            await release.wait()
+            return web.Response(text="done")
+
+        server = HttpServer(handle, None, *limits(5, 5, 500))
+        listener = await loop.create_server(server, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * 3)
+        await asyncio.wait_for(begun.wait(), 10)
+        server.drain(loop.time() + (60 if answers_input else -1))
+        assert server.has_open_requests
+        release.set()
+        assert (await asyncio.wait_for(reader.read(), 10)).count(b"done") == answers
+        assert not server.has_open_requests
+        writer.close()
+        listener.close()
+
+    asyncio.run(test())
