--- a/llm_router/transport/upstream_connection.py
+++ b/llm_router/transport/upstream_connection.py
@@ -38,16 +38,16 @@
         "_head_timer",
         "_idle_seconds",
         "_interim_responses",
-        "_last_received",
         "_on_stale",
         "_response_body",
+        "last_received",
     )
 
     def __init__(self, loop: asyncio.AbstractEventLoop, on_stale: Callable[[float], None]) -> None:
         super().__init__(loop)
         # If the connection is stale, this function is called with the idle time in seconds.
         self._on_stale = on_stale
-        self._last_received = 0.0  # event loop time in seconds of the last received bytes, or 0
+        self.last_received = 0.0  # event loop time in seconds of the last received bytes, or 0
         self._idle_seconds = 0.0  # idle time in seconds before the current request; 0 for the first request
         # The body of the awaited response, once its head is complete.
         self._response_body: aiohttp.StreamReader | None = None
@@ -66,7 +66,7 @@
         self._interim_responses = 0
         self._head_size = 0
         self._payload = None
-        self._idle_seconds = self._loop.time() - self._last_received if self._last_received else 0.0
+        self._idle_seconds = self._loop.time() - self.last_received if self.last_received else 0.0
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
@@ -75,7 +75,7 @@
             self._fail_malformed(f"received {len(data)} unexpected bytes outside of a response")
             return
         interim_before = self._interim_responses
-        self._last_received = self._loop.time()
+        self.last_received = self._loop.time()
         super().data_received(data)
         if self._response_body is not None:
             return
--- a/tests/transport/test_pool.py
+++ b/tests/transport/test_pool.py
@@ -8,7 +8,8 @@
 from datetime import timedelta
 from types import SimpleNamespace
 
-from stand_ins import accept_release, within
+import pytest
+from stand_ins import accept_release, message, within
 
 from llm_router.lifecycle import reducer
 from llm_router.lifecycle.events import AttemptEnded, RequestReceived
@@ -256,3 +257,69 @@
             assert hook_reference() is None
 
     asyncio.run(test())
+
+
+ANSWER_TIME = 0.015  # seconds; a second answer comes while the next call waits for its own
+
+
+def answer_again(delay, answer):
+    """Return a handler that answers each call with `answer(path)`, and once more after a delay in seconds."""
+
+    async def handler(call, writer):
+        await asyncio.sleep(ANSWER_TIME)
+        data = answer(call[0].split()[1])
+        writer.write(data)
+        asyncio.get_running_loop().call_later(delay, writer.write, data)
+
+    return handler
+
+
+# Guards against a second answer, some milliseconds late, that is taken for the answer to the next call.
+@pytest.mark.parametrize("delay", [0.002, 0.01, 0.02])
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"], ids=["final", "interim before"])
+def test_a_late_second_answer_is_never_taken_for_that_to_the_next_call(
+    delay, interim, runtime_with_endpoints
+):
+    handler = answer_again(delay, lambda path: interim + message("HTTP/1.1 200 OK", path.encode()))
+
+    async def test():
+        async with runtime_with_endpoints(prefill=handler) as deployment:
+            pool = deployment.runtime.pool
+            for number in range(10):
+                response = await pool.fetch(deployment.prefill.address, f"/{number}", TIMEOUT)
+                assert response.body == b"/%d" % number
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("for_release", [True, False])
+def test_a_late_answer_without_a_body_is_never_taken_for_that_to_the_next_call(
+    for_release, runtime_with_endpoints
+):
+    statuses = {"/v1/holds/a": "204 No Content", "/v1/holds/b": "404 Not Found"}
+    handler = answer_again(0.01, lambda path: message(f"HTTP/1.1 {statuses[path]}"))
+
+    async def test():
+        async with runtime_with_endpoints(prefill=handler) as deployment:
+            pool, address = deployment.runtime.pool, deployment.prefill.address
+            calls = [UpstreamCall("DELETE", address, path, for_release=for_release) for path in statuses]
+            for _ in range(3):
+                assert [await pool.call(call, TIMEOUT) for call in calls] == [204, 404]
+
+    asyncio.run(test())
+
+
+# Guards against a new connection for each call that follows soon after another.
+def test_a_call_waits_for_a_connection_that_rests_and_a_release_does_not(runtime_with_endpoints):
+    async def test():
+        async with runtime_with_endpoints() as deployment:
+            pool = deployment.runtime.pool
+            call = UpstreamCall("GET", deployment.prefill.address, "/stats")
+            for _ in range(3):
+                assert await pool.call(call, TIMEOUT) == 204
+            assert len(deployment.prefill.open) == 1
+            urgent = UpstreamCall("DELETE", deployment.prefill.address, "/v1/holds/a", for_release=True)
+            assert await pool.call(urgent, TIMEOUT) == 204
+            assert len(deployment.prefill.open) == 2
+
+    asyncio.run(test())
