--- a/llm_router/lifecycle/errors.py
+++ b/llm_router/lifecycle/errors.py
@@ -13,6 +13,6 @@
     `effects` are those that the handler returned before. They must be performed all the same, because the
     state has recorded them as done."""
 
-    def __init__(self, effects: Sequence[Effect]) -> None:
-        super().__init__("the handler of an event failed")
+    def __init__(self, effects: Sequence[Effect], cause: Exception) -> None:
+        super().__init__(f"the handler of an event failed: {cause!r}")
         self.effects = effects
--- a/llm_router/lifecycle/reducer.py
+++ b/llm_router/lifecycle/reducer.py
@@ -45,5 +45,5 @@
         for effect in HANDLERS[type(event)](state, now, event):
             resulting.append(effect)  # noqa: PERF402
     except Exception as error:
-        raise EventError(resulting) from error
+        raise EventError(resulting, error) from error
     return resulting
--- a/llm_router/transport/client_answer.py
+++ b/llm_router/transport/client_answer.py
@@ -9,7 +9,7 @@
 
 
 class AnswerState(Enum):
-    """The states of a client's answer; each state may be followed by any later one."""
+    """The states of a client's answer, in order; a router's own answer skips RELAYING."""
 
     PENDING = auto()  # The client has got nothing.
     RELAYING = auto()  # The response to one attempt is being relayed to the client.
@@ -19,7 +19,7 @@
 class ClientAnswer:
     """Decides which answer a client gets: the router's own, or the response to the attempt that is first.
 
-    Whatever comes later must not be written to the client, because its next request would get it.
+    A later response must not be written to the client, because its next request would get it.
     `done` is the future of the answer."""
 
     def __init__(self) -> None:
--- a/llm_router/transport/frontend_protocol.py
+++ b/llm_router/transport/frontend_protocol.py
@@ -57,7 +57,7 @@
 
     @property
     def answer(self) -> ClientAnswer:
-        """The client's answer; whoever relays a response must claim it before `start`."""
+        """The client's answer, which must be claimed before `start`."""
 
     async def start(self, status: int, headers: Mapping[str, str]) -> None:
         """Send the head of a response with this status and these headers to the client."""
--- a/llm_router/transport/frontend_server.py
+++ b/llm_router/transport/frontend_server.py
@@ -96,7 +96,7 @@
         self.acceptor = Acceptor(listener, self.http_server, ACCEPT_BATCH_SIZE)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Serve a request; during shutdown close its connection once all that was received is answered."""
+        """Serve a request; during shutdown close its connection once no further input was received on it."""
         self.open_requests += 1
         try:
             response = await self._handler(request)
--- a/llm_router/transport/http_server.py
+++ b/llm_router/transport/http_server.py
@@ -68,7 +68,7 @@
         limits: ServerLimits,
         input_memory: MemoryBudget,
     ) -> None:
-        # Cancel a handler when its client disconnects, because the response is no longer needed.
+        # Cancel a handler when its client disconnects, because its response would be lost.
         super().__init__(handler, request_factory=self._new_request, handler_cancellation=True)
         self._make_connection = functools.partial(
             ClientConnection,
--- a/llm_router/transport/limited_request_handler.py
+++ b/llm_router/transport/limited_request_handler.py
@@ -25,7 +25,7 @@
 FIRST_INPUT_SELECTS = 2
 MAX_HEAD_SIZE = 32 * 1024  # maximum bytes of a request head, and of a request's trailer
 # Bytes that are parsed at once.
-# The parser holds back what follows a complete request, and repeats malformed input in its errors.
+# The parser keeps the input that follows a complete request, and repeats malformed input in its errors.
 PARSE_SIZE = 4 * 1024
 # Maximum number of requests that are parsed before their turn comes; the input after them stays unparsed.
 MAX_QUEUED_REQUESTS = 1
@@ -62,7 +62,7 @@
         self.last_arrival = ArrivalTime(now, now)  # arrival of the last parsed bytes
         # Time at which the first bytes of an incomplete request head were read.
         self.partial_head_since: float | None = None
-        # ArrivalTime of each queued request head, by the message's id().
+        # Arrival of each queued request head, by the message's id().
         self._head_arrivals: dict[int, ArrivalTime] = {}
         self._first_select_count = 0
         self._answered_requests = 0
@@ -119,7 +119,7 @@
     def data_received(self, data: bytes) -> None:
         """Process bytes that the event loop has received.
 
-        aiohttp calls this method without bytes to continue with what its parser holds back."""
+        aiohttp calls this method without bytes to continue with the input that its parser has kept."""
         if not self.accepts_input:
             return
         if not data:
@@ -136,7 +136,7 @@
         self._pause_or_resume_transport()
 
     def _parse(self, piece: ReceivedPiece) -> None:
-        """Parse a piece of input in slices, and buffer what is left once aiohttp pauses reading."""
+        """Parse a piece of input in slices, and buffer the rest once aiohttp pauses reading."""
         position = 0
         while position < len(piece.data) and self.accepts_input:
             if self._buffers_input:
@@ -218,7 +218,7 @@
         self.on_input_rejected()
 
     def stop_input(self) -> None:
-        """Free the input that is not parsed completely, and drop all that is received from now on."""
+        """Free the input that is not parsed completely, and drop all further input."""
         self._parser = None
         if self._input is not None:
             self._input.buffer.clear()
--- a/llm_router/transport/memory_budget.py
+++ b/llm_router/transport/memory_budget.py
@@ -6,7 +6,7 @@
 class MemoryBudget:
     """A budget in bytes of memory.
 
-    `part` returns a budget for one kind of data: what it counts is counted in the whole budget as well."""
+    `part` returns a budget for one kind of data. Its bytes are counted in the whole budget as well."""
 
     def __init__(self, capacity: int, parent: MemoryBudget | None = None, share: float = 1.0) -> None:
         self._own_capacity = capacity
@@ -27,7 +27,7 @@
 
     @property
     def is_exceeded(self) -> bool:
-        """Whether more is in use than this budget or the one of which it is a part may hold."""
+        """Whether more is in use than this budget, or its whole budget, may hold."""
         return self._used > self.capacity or (self._parent is not None and self._parent.is_exceeded)
 
     def resize(self, capacity: int) -> None:
--- a/llm_router/transport/upstream_connector.py
+++ b/llm_router/transport/upstream_connector.py
@@ -26,7 +26,7 @@
 from llm_router.transport.socket_budget import may_use_release_sockets
 from llm_router.transport.upstream_connection import UpstreamConnection
 
-# Time for which a connection is not used again after the last bytes received on it.
+# A connection is used again only this long after the last bytes received on it.
 # An endpoint may write a second answer up to 20 ms behind the first. Bytes that come while no request is out
 # close the connection; behind the next request they would be taken for its response.
 MIN_REST_TIME = timedelta(milliseconds=25)
--- a/tests/transport/test_client_answer.py
+++ b/tests/transport/test_client_answer.py
@@ -1,4 +1,4 @@
-"""Checks that a client gets exactly one answer to each request, whatever its attempts bring later."""
+"""Checks that a client gets exactly one answer to each request, even if its attempts bring more later."""
 
 import asyncio
 from types import SimpleNamespace
@@ -66,7 +66,7 @@
 
 
 class RecordingSink(EventStreamSink):
-    """A sink that records what is written to the client, and pauses after the first write."""
+    """A sink that records the writes to the client, and pauses after the first one."""
 
     def __init__(self):
         super().__init__(None, None, lambda: False)
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -166,7 +166,7 @@
             await asyncio.sleep(0.001)
 
 
-# Guards against heads that aiohttp keeps with the last request of a resting connection, and nobody counts.
+# Guards against uncounted heads, which aiohttp keeps with the last request of an idle connection.
 def test_the_head_of_an_answered_request_is_counted_until_the_next_one_or_the_close():
     async def test():
         async def handle(_request):
--- a/tests/transport/test_pool.py
+++ b/tests/transport/test_pool.py
@@ -239,7 +239,7 @@
     asyncio.run(test())
 
 
-# Guards against idle connections that keep the request for which they were opened, with its body, in memory.
+# Guards against idle connections that keep their first request, with its body, in memory.
 def test_an_idle_connection_does_not_keep_the_hook_of_the_request_that_opened_it(runtime_with_endpoints):
     async def test():
         async with runtime_with_endpoints() as deployment:
@@ -263,7 +263,7 @@
 
 
 def answer_again(delay, answer):
-    """Return a handler that answers each call with `answer(path)`, and once more after a delay in seconds."""
+    """Return a handler that answers each call with `answer(path)`, and again after a delay in seconds."""
 
     async def handler(call, writer):
         await asyncio.sleep(ANSWER_TIME)
