--- a/tests/transport/test_discovery.py
+++ b/tests/transport/test_discovery.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import socket
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 from stand_ins import SETTINGS, StandInServer, message, registry_entry, within
@@ -296,3 +296,68 @@
     watch = Discovery(None, "", read_list, [].append)
     with pytest.raises(ValueError):
         watch.accept_list(malformed_list)
+
+
+class SlowDiscovery:
+    """A stand-in for discovery whose answers are `delay` seconds late; a call never waits for another."""
+
+    def __init__(self, delay):
+        self.delay = delay
+        self.changed = asyncio.Event()
+        self.calls = 0
+        self.silent_calls = 0  # the calls up to this number are never answered
+
+    async def answer(self, call, writer):
+        self.calls += 1
+        number = self.calls
+        path = call[0].split()[1]
+        if "since=" in path:
+            timeout_s = None if "since=7" in path else int(path.partition("timeout_ms=")[2]) / 1000
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), timeout_s)
+        index, endpoints = (7, [NEW]) if self.changed.is_set() else (5, [])
+        await asyncio.sleep(self.delay)
+        if number <= self.silent_calls:
+            await silent(writer)
+        writer.write(response({"index": index, "snapshot": "since=" not in path, "endpoints": endpoints}))
+
+
+async def time_to_change(delay, falls_silent=False):
+    """Return the seconds until a change is fed, the calls made before it, and the version known then.
+
+    The answers are late for 7 s before the change. The calls under way may fall silent just before it."""
+    discovery = SlowDiscovery(delay)
+    async with running_watch(discovery.answer) as (watch, lists, _):
+        await asyncio.sleep(7)
+        loop = asyncio.get_running_loop()
+        calls, known, begun = discovery.calls, watch.index, loop.time()
+        discovery.silent_calls = calls * falls_silent
+        discovery.changed.set()
+        while "new" not in {each.name for each in (await asyncio.wait_for(lists.get(), 20)).endpoints}:
+            pass
+        return loop.time() - begun, calls, known
+
+
+# Guards against calls that are all given up before a slow discovery answers, so that no list arrives.
+def test_a_change_arrives_with_the_next_answer_of_a_slow_discovery():
+    delays = (0.3, 1.0, 1.5, 2.5, 5.0)
+
+    async def test():
+        results = await asyncio.gather(*(time_to_change(delay) for delay in delays))
+        for delay, (took, calls, known) in zip(delays, results, strict=True):
+            print(f"{delay} s late: a change after {took:.2f} s, {calls} calls in 7 s")
+            # An answer that is being written already does not have the change; the next one has.
+            assert took < 2 * delay + 0.5, delay
+            assert known == 5, "the known version must not be forgotten for a late call"
+            assert calls <= 8, "a slow discovery must not get more calls"
+
+    asyncio.run(test())
+
+
+# Guards against a silent watch call that is waited for too long, because other calls were late.
+def test_a_change_that_a_silent_call_to_a_slow_discovery_misses_arrives_within_six_seconds():
+    async def test():
+        results = await asyncio.gather(*(time_to_change(delay, True) for delay in (0.3, 1.0, 1.5)))
+        assert max(took for took, _, _ in results) < UPDATE_TIMEOUT, results
+
+    asyncio.run(test())
