Name the delay before a connection is used again in the field's words

Cause: the constant and its function were named after rest, a word of the withdrawn style, and a call waited for a connection that the policy for idle connections had already given up.

Change: REUSE_DELAY and its neighbours; no wait while idle connections are not used again.

--- a/llm_router/transport/upstream_connector.py
+++ b/llm_router/transport/upstream_connector.py
@@ -29,7 +29,7 @@
 # A connection is used again only this long after the last bytes received on it.
 # An endpoint may write a second answer up to 20 ms behind the first. Bytes that come while no request is out
 # close the connection; behind the next request they would be taken for its response.
-MIN_REST_TIME = timedelta(milliseconds=25)
+REUSE_DELAY = timedelta(milliseconds=25)
 # Delay before the first retry after a local connect error. It doubles with each further retry.
 INITIAL_BACKOFF = timedelta(milliseconds=1)
 
@@ -55,31 +55,32 @@
         self._keepalive_timeout = self._usual_keepalive_timeout if self.idle_policy.reuses else 0.0
 
     async def _get(self, key: ConnectionKey, traces: list[Trace]) -> Connection | None:
-        """Return an idle connection that is still open and has rested, or None if there is none.
+        """Return an idle connection that is still open and may be used again, or None if there is none.
 
-        A call waits for a connection that rests, because a new one would cost its endpoint more. A release
-        does not wait, because its time is short."""
+        A call waits for the end of a reuse delay, because a new connection would cost its endpoint more. A
+        release does not wait, because its time is short."""
         self.idle_policy.update(self._loop.time())
         self._apply_idle_policy()
-        wait_until = self._loop.time() + to_seconds(MIN_REST_TIME)
-        while (rested_at := self._next_rested_at(key)) is not None:
-            if rested_at > self._loop.time():
-                if rested_at > wait_until or may_use_release_sockets.get():
+        wait_until = self._loop.time() + to_seconds(REUSE_DELAY)
+        while (reusable_at := self._next_reusable_at(key)) is not None:
+            if reusable_at > self._loop.time():
+                may_wait = self.idle_policy.reuses and not may_use_release_sockets.get()
+                if not may_wait or reusable_at > wait_until:
                     return None
-                await asyncio.sleep(rested_at - self._loop.time())
+                await asyncio.sleep(reusable_at - self._loop.time())
             elif (connection := await super()._get(key, traces)) is not None:
                 if not has_pending_input(connection.transport):
                     return connection
                 connection.close()
         return None
 
-    def _next_rested_at(self, key: ConnectionKey) -> float | None:
-        """Return the loop time at which an open idle connection has rested, or None if none is open.
+    def _next_reusable_at(self, key: ConnectionKey) -> float | None:
+        """Return the loop time from which an open idle connection may be used again; None if none is open.
 
         This is the connection that aiohttp uses next: the idle ones are in the order of their last use."""
         for connection, _ in self._conns.get(key, ()):
             if connection.is_connected():
-                return cast(UpstreamConnection, connection).last_received + to_seconds(MIN_REST_TIME)
+                return cast(UpstreamConnection, connection).last_received + to_seconds(REUSE_DELAY)
         return None
 
     async def _create_connection(
--- a/tests/routing/test_failed_decisions.py
+++ b/tests/routing/test_failed_decisions.py
@@ -61,6 +61,6 @@
 
 # Guards against a decision that fails because a client's key cannot be encoded as UTF-8.
 @pytest.mark.parametrize("key", ["session", "prefix"])
-def test_a_key_that_utf_8_cannot_encode_has_a_place_on_the_ring(harness, key):
+def test_a_key_that_utf_8_cannot_encode_is_hashed(harness, key):
     harness.submit("r", **{key: UNREADABLE_KEY})
     assert len(harness.attempted_endpoints()) == 1
--- a/tests/transport/test_pool.py
+++ b/tests/transport/test_pool.py
@@ -262,7 +262,7 @@
 ANSWER_TIME = 0.015  # seconds; a second answer comes while the next call waits for its own
 
 
-def answer_again(delay, answer):
+def answer_twice(delay, answer):
     """Return a handler that answers each call with `answer(path)`, and again after a delay in seconds."""
 
     async def handler(call, writer):
@@ -280,7 +280,7 @@
 def test_a_late_second_answer_is_never_taken_for_that_to_the_next_call(
     delay, interim, runtime_with_endpoints
 ):
-    handler = answer_again(delay, lambda path: interim + message("HTTP/1.1 200 OK", path.encode()))
+    handler = answer_twice(delay, lambda path: interim + message("HTTP/1.1 200 OK", path.encode()))
 
     async def test():
         async with runtime_with_endpoints(prefill=handler) as deployment:
@@ -297,7 +297,7 @@
     for_release, runtime_with_endpoints
 ):
     statuses = {"/v1/holds/a": "204 No Content", "/v1/holds/b": "404 Not Found"}
-    handler = answer_again(0.01, lambda path: message(f"HTTP/1.1 {statuses[path]}"))
+    handler = answer_twice(0.01, lambda path: message(f"HTTP/1.1 {statuses[path]}"))
 
     async def test():
         async with runtime_with_endpoints(prefill=handler) as deployment:
@@ -310,7 +310,7 @@
 
 
 # Guards against a new connection for each call that follows soon after another.
-def test_a_call_waits_for_a_connection_that_rests_and_a_release_does_not(runtime_with_endpoints):
+def test_a_call_waits_for_the_reuse_delay_of_a_connection_and_a_release_does_not(runtime_with_endpoints):
     async def test():
         async with runtime_with_endpoints() as deployment:
             pool = deployment.runtime.pool
