Ask discovery for the list again if the call beside a late watch fails

Cause: the change that waits for a slow discovery fetched the list once beside a late watch call. If that call failed and the watch was silent, the watch was waited for to its limit, 8.5 s in all, though a missed change counts as told after 6 s.

Change: the list is fetched again after each failure, as without a watch, until one of the two has an answer.

Found when the change was read once more.

--- a/llm_router/transport/discovery.py
+++ b/llm_router/transport/discovery.py
@@ -142,7 +142,7 @@
             if changes.done():
                 return changes.result()
             self._log_lost(TimeoutError("a watch call is late"))
-            return await first_result(changes, asyncio.create_task(self._fetch_list()))
+            return await first_result(changes, asyncio.create_task(self._fetch_list_with_retries()))
         finally:
             await cancel_all({changes})
 
@@ -157,6 +157,15 @@
         available = UPDATE_TIMEOUT - self._lateness() - self._latency
         return max(MIN_WATCH_TIME, min(available, MAX_WATCH_TIME))
 
+    async def _fetch_list_with_retries(self) -> object:
+        """Fetch a full snapshot; repeat after each failure, because the late watch call may be silent."""
+        while True:
+            try:
+                return await self._fetch_list()
+            except CALL_ERRORS as error:
+                self._on_failure(error)
+                await asyncio.sleep(to_seconds(RETRY_DELAY))
+
     async def _fetch_list(self) -> object:
         """Fetch a full snapshot by hedged calls, and return the first valid response.
 
--- a/tests/transport/test_discovery.py
+++ b/tests/transport/test_discovery.py
@@ -164,6 +164,23 @@
     asyncio.run(test())
 
 
+# Guards against a silent watch call that is waited for because the call beside it failed.
+@pytest.mark.parametrize("failure", [unavailable, refused, cut_in_the_body, malformed])
+def test_the_list_is_updated_in_time_after_an_unanswered_call_and_a_failed_one(failure):
+    async def test():
+        calls = 0
+
+        async def answer(_call, writer):
+            nonlocal calls
+            calls += 1
+            await (silent, failure, indented)[min(calls, 3) - 1](writer)
+
+        async with running_watch(answer) as (_, lists, _):
+            assert (await asyncio.wait_for(lists.get(), UPDATE_TIMEOUT)).is_full
+
+    asyncio.run(test())
+
+
 def test_a_reload_replaces_a_watch_whose_address_accepts_no_connection():
     async def test():
         with socket.socket() as full:  # its accept queue is full, so that further connects hang
