--- /dev/null
+++ b/tests/frontends/test_departed_clients.py
@@ -0,0 +1,161 @@
+"""Checks that no attempt begins for a client that has left, and that an unsafe request runs only once."""
+
+import asyncio
+import socket
+import time
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import pytest
+from floods import LARGE_BODY
+from stand_ins import (
+    StandInServer,
+    chat_request,
+    decode,
+    hang,
+    message,
+    prefill,
+    read_message,
+    registry_entry,
+    router_with_endpoints,
+    run,
+    running_router,
+    within,
+)
+
+CLIENTS = 6
+REJECTION_DELAY = 0.15  # seconds after which an endpoint rejects an attempt
+STAY = 0.05  # seconds from a client's first byte to its close
+GRACE = 0.1  # seconds after the close of a client in which an attempt for it may still begin
+OBSERVED = 1.5  # seconds for which late attempts are awaited
+RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"  # value of SO_LINGER
+OVERLOADED = message("HTTP/1.1 503 Service Unavailable", X_Unprocessed=1)
+BEHIND = {
+    "16 large requests": b"".join(chat_request(id=f"behind{n}", body=LARGE_BODY) for n in range(16)),
+}
+
+
+class RejectingEndpoint(StandInServer):
+    """A prefill endpoint that rejects each attempt after a delay, and records the start of each."""
+
+    def __init__(self):
+        super().__init__(self.reject)
+        self.attempts = []  # request id and time of each attempt
+
+    async def reject(self, call, writer):
+        """Record the attempt and reject it; accept other calls."""
+        if not call[0].startswith("POST /v1/chat"):
+            await prefill(call, writer)
+            return
+        self.attempts.append((call[1]["x-correlation-id"], time.monotonic()))
+        await asyncio.sleep(REJECTION_DELAY)
+        writer.write(OVERLOADED)
+
+
+@asynccontextmanager
+async def router_with_rejecting_endpoints(tmp_path):
+    """Start a router whose three prefill endpoints reject all attempts; yield it and the endpoints."""
+    async with AsyncExitStack() as stack:
+        endpoints = [await stack.enter_async_context(RejectingEndpoint()) for _ in range(3)]
+        writer = await stack.enter_async_context(StandInServer(decode))
+        entries = [registry_entry(f"p{n}", each.address, "prefill") for n, each in enumerate(endpoints)]
+        entries.append(registry_entry("d", writer.address, "decode"))
+        router = await stack.enter_async_context(running_router(tmp_path, entries))
+        yield router, endpoints
+
+
+def send_some(client, data):
+    """Send as much as the kernel takes now, and return the rest."""
+    try:
+        while data:
+            data = data[client.send(data) :]
+    except BlockingIOError:
+        pass
+    return data
+
+
+async def send_and_leave(address, request_id, behind, reset):
+    """Send a request and more behind it, leave after STAY seconds, and return the time of the close."""
+    host, port = address.split(":")
+    client = socket.create_connection((host, int(port)))
+    client.setblocking(False)
+    rest = chat_request(id=request_id) + behind
+    end = time.monotonic() + STAY
+    while time.monotonic() < end:
+        rest = send_some(client, rest)
+        await asyncio.sleep(0.002)
+    if reset:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    closed_at = time.monotonic()
+    client.close()
+    return closed_at
+
+
+# Guards against a close that is not seen because it lies behind bytes that the router does not read.
+@pytest.mark.parametrize("reset", [False, True], ids=["closes", "resets"])
+@pytest.mark.parametrize("behind", BEHIND)
+def test_no_attempt_begins_after_a_client_left_with_much_unread(tmp_path, behind, reset):
+    async def test():
+        async with router_with_rejecting_endpoints(tmp_path) as (router, endpoints):
+            names = [f"left{n}" for n in range(CLIENTS)]
+            closes = await asyncio.gather(
+                *(send_and_leave(router.address, name, BEHIND[behind], reset) for name in names)
+            )
+            await asyncio.sleep(OBSERVED)
+            attempts = [attempt for each in endpoints for attempt in each.attempts]
+            closed_at = dict(zip(names, closes, strict=True))
+            last_close = max(closes)
+            late = [
+                (name, round(start - closed_at.get(name, last_close), 3))
+                for name, start in attempts
+                if start > closed_at.get(name, last_close) + GRACE
+            ]
+            assert attempts and not late
+            assert not await router.stop_and_read_internal_errors()
+
+    run(test())
+
+
+# Guards against requests behind another that get no answer because their bytes were not kept.
+def test_each_request_of_a_client_that_sends_more_than_is_kept_is_answered_in_its_turn(tmp_path):
+    async def test():
+        async with router_with_endpoints(tmp_path, prefill=slow_prefill) as program:
+            reader, writer = await program.connect()
+            writer.write(chat_request(id="first") + BEHIND["16 large requests"])
+            statuses = [(await within(read_message(reader))).status for _ in range(17)]
+            writer.write(chat_request(id="after"))
+            statuses.append((await within(read_message(reader))).status)
+            writer.close()
+            assert statuses[0] == statuses[-1] == 200 and set(statuses) <= {200, 503}
+            assert not await program.stop_and_read_internal_errors()
+
+    run(test())
+
+
+async def slow_prefill(call, writer):
+    """Complete a prefill after a moment, in which input gathers behind its request."""
+    await asyncio.sleep(0.3)
+    await prefill(call, writer)
+
+
+async def hang_or_reject(call, writer):
+    """Never answer a chat request; reject a reservation."""
+    handler = hang if call[0].startswith("POST /v1/chat") else decode
+    await handler(call, writer)
+
+
+# Guards against an id that runs again while or after its first attempt may have run, as its client left.
+def test_an_unsafe_request_whose_client_left_does_not_run_again_under_its_id(tmp_path):
+    async def test():
+        async with router_with_endpoints(tmp_path, decode=hang_or_reject) as program:
+            _, writer = await program.connect()
+            writer.write(chat_request(id="once", cls="booking"))
+            await program.decode_server.wait_for("POST /v1/chat")
+            writer.transport.abort()
+            for _ in range(8):
+                answer = await program.exchange(chat_request(id="once", cls="booking"))
+                assert answer.status == 409
+                await asyncio.sleep(0.1)
+            assert len(program.decode_server.named("POST /v1/chat")) == 1
+            assert not await program.stop_and_read_internal_errors()
+
+    run(test())
