Log departed clients, repeated ids, aborted streams, evictions and long turns of the loop

New events: client_disconnected, request_id_conflict, stream_aborted, client_connection_evicted, event_loop_delayed; new counts disconnected and id_conflict in interval_metrics.

--- a/llm_router/lifecycle/final_answers.py
+++ b/llm_router/lifecycle/final_answers.py
@@ -15,6 +15,7 @@
 
 # A final answer this long after the deadline counts as late, because the client has given up by then.
 MAX_ANSWER_DELAY = timedelta(milliseconds=500)
+MILLISECOND = timedelta(milliseconds=1)
 
 
 def reject_request(
@@ -53,13 +54,34 @@
     yield answer
 
 
+def log_disconnect(state: RouterState, now: timedelta, request: Request) -> Iterator[effects.LogEvent]:
+    """Log that the client of an open request has left, with the request's age and attempts, and count it."""
+    age = now - request.accepted_at
+    state.metrics.add("disconnected", age)
+    fields: dict[str, object] = {
+        "request": request.request_id,
+        "state": request.state.name.lower(),
+        "age_ms": round(age / MILLISECOND),
+        "attempts": _outcomes(request),
+    }
+    yield effects.LogEvent("client_disconnected", fields, rate_limited=True)
+
+
+def _outcomes(request: Request) -> list[str]:
+    """Return the endpoint and the outcome of each attempt of a request, for the log."""
+    return [f"{each.endpoint_name} {each.outcome}" for each in request.attempts]
+
+
 def _log_answer(
     state: RouterState, now: timedelta, request: Request, log_event: str, reason: AnswerReason
 ) -> Iterator[effects.Effect]:
     """Log a final answer with its reason and the attempts of its request, and count the reason."""
     state.metrics.add(f"ended_{reason.value}")
-    attempts = [f"{each.endpoint_name} {each.outcome}" for each in request.attempts]
-    fields: dict[str, object] = {"request": request.request_id, "reason": reason.value, "attempts": attempts}
+    fields: dict[str, object] = {
+        "request": request.request_id,
+        "reason": reason.value,
+        "attempts": _outcomes(request),
+    }
     yield effects.LogEvent(log_event, fields, rate_limited=True)
     if now > request.deadline + MAX_ANSWER_DELAY:
         delay = str(now - request.deadline)
--- a/llm_router/lifecycle/request_events.py
+++ b/llm_router/lifecycle/request_events.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from llm_router.lifecycle import effects, events
-from llm_router.lifecycle.final_answers import fail_request
+from llm_router.lifecycle.final_answers import fail_request, log_disconnect
 from llm_router.lifecycle.kv_lease import KvLease
 from llm_router.lifecycle.policy_actions import consult_policy
 from llm_router.lifecycle.release_schedule import ReleaseSchedule
@@ -31,6 +31,8 @@
     """Accept a request, or answer it at once if its id is in use or its key may have run."""
     immediate_answer = _immediate_answer(state, now, event)
     if immediate_answer is not None:
+        state.metrics.add("id_conflict")
+        yield _log_conflict(state, event)
         yield immediate_answer
         return
     if event.idempotency_key:
@@ -65,6 +67,14 @@
     return None
 
 
+def _log_conflict(state: RouterState, event: events.RequestReceived) -> effects.LogEvent:
+    """Return the log line about a request that is answered at once, with the state of the earlier one."""
+    existing = state.requests.get(event.request_id)
+    earlier = "ended" if existing is None else existing.state.name.lower()
+    fields: dict[str, object] = {"request": event.request_id, "earlier": earlier}
+    return effects.LogEvent("request_id_conflict", fields, rate_limited=True)
+
+
 def _accepted_request(state: RouterState, now: timedelta, event: events.RequestReceived) -> Request:
     """Return a new Request for a request that is accepted now."""
     release_timeout = state.settings.release_timeout
@@ -98,6 +108,8 @@
     if request is None:
         return
     was_closed = request.is_closed
+    if not was_closed:
+        yield from log_disconnect(state, now, request)
     request.change(RequestChange.CLOSED)
     if not was_closed:
         yield from consult_policy(state, now, routing_events.ClientDisconnected(event.request_id))
--- a/llm_router/service.py
+++ b/llm_router/service.py
@@ -22,7 +22,9 @@
 )
 from llm_router.frontends.registry_list import read_list
 from llm_router.transport import signals
+from llm_router.transport.clock import to_seconds
 from llm_router.transport.discovery import Discovery
+from llm_router.transport.event_loop import take_longest_turn
 from llm_router.transport.frontend_server import FrontendServer
 from llm_router.transport.memory_budget import MemoryBudget
 from llm_router.transport.pool import DISCOVERY_SOCKETS, RELEASE_SOCKETS, ConnectionPool
@@ -31,6 +33,9 @@
 from llm_router.xds.watch import XdsFileWatch
 
 GARBAGE_COLLECTION_INTERVAL = timedelta(seconds=10)  # Each collection blocks the event loop for 5 to 8 ms.
+EVENT_LOOP_REPORT_INTERVAL = timedelta(seconds=5)
+# A turn of the event loop that takes longer than this is logged: all clients wait meanwhile.
+LONG_TURN = timedelta(milliseconds=50)
 
 
 class Frontend(Protocol):
@@ -94,9 +99,11 @@
             await self._close()
             raise StartError(f"{self.config.listen}: {error}") from error
         garbage_collector = Supervisor("tidy", collect_garbage)
+        event_loop_monitor = Supervisor("event_loop", report_long_turns)
         await stop_requested.wait()
         await self._drain()
         garbage_collector.stop()
+        event_loop_monitor.stop()
         await self._close()
         log.emit("stopped")
 
@@ -190,6 +197,17 @@
         gc.collect()
 
 
+async def report_long_turns() -> None:
+    """Log the longest turn of the event loop in each interval in which one exceeded LONG_TURN."""
+    loop = asyncio.get_running_loop()
+    take_longest_turn(loop)
+    while True:
+        await asyncio.sleep(to_seconds(EVENT_LOOP_REPORT_INTERVAL))
+        longest = take_longest_turn(loop)
+        if longest > to_seconds(LONG_TURN):
+            log.emit("event_loop_delayed", longest_turn_ms=round(longest * 1000))
+
+
 async def serve(config: RouterConfig, reload_config: Callable[[], RouterConfig]) -> None:
     """Run a router instance on the current event loop."""
     asyncio.get_running_loop().set_exception_handler(_log_event_loop_error)
--- a/llm_router/transport/event_loop.py
+++ b/llm_router/transport/event_loop.py
@@ -17,17 +17,21 @@
 
 
 class TimedSelector(selectors.DefaultSelector):
-    """A selector that records the earliest time at which the last reported input can have arrived."""
+    """A selector that records the earliest time at which the last reported input can have arrived.
+
+    It also measures the turns of the event loop, which are the times between two calls of `select`."""
 
     def __init__(self) -> None:
         super().__init__()
         self.select_count = 0
+        self.longest_turn = 0.0  # seconds; the reader of this attribute may reset it
         self.input_since = time.monotonic()
         self._last_select = self.input_since
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         """Return the ready files; their input arrived after the previous call or while this call blocked."""
         start = time.monotonic()
+        self.longest_turn = max(self.longest_turn, start - self._last_select)
         ready = super().select(timeout)
         now = time.monotonic()
         self.input_since = now if now - start > BLOCKED_THRESHOLD else self._last_select
@@ -61,6 +65,15 @@
     return loop.selector.input_since if isinstance(loop, TimedEventLoop) else loop.time()
 
 
+def take_longest_turn(loop: asyncio.AbstractEventLoop) -> float:
+    """Return the seconds of the longest turn since the last call; 0 if the loop is not a `TimedEventLoop`."""
+    if not isinstance(loop, TimedEventLoop):
+        return 0.0
+    longest = loop.selector.longest_turn
+    loop.selector.longest_turn = 0.0
+    return longest
+
+
 def select_count(loop: asyncio.AbstractEventLoop) -> int:
     """Return how often the loop has polled for input; 0 if it is not a `TimedEventLoop`."""
     return loop.selector.select_count if isinstance(loop, TimedEventLoop) else 0
--- a/llm_router/transport/http_server.py
+++ b/llm_router/transport/http_server.py
@@ -129,7 +129,7 @@
         So a flood of new connections does not displace clients that send requests."""
         if self.lingering:
             oldest, _ = self.lingering.popitem(last=False)
-            oldest.force_close()
+            self._evict(oldest, "lingering")
             return True
         idle: list[ClientConnection] = []
         opened_before = self._loop.time() - to_seconds(NEW_CONNECTION_AGE)
@@ -139,15 +139,23 @@
                 continue
             is_old = connection.idle_since < opened_before
             if connection.is_idle and not connection.has_served and is_old:
-                connection.force_close()
+                self._evict(connection, "silent")
                 return True
             if connection.all_answered and (connection.has_served or is_old):
                 idle.append(connection)
         if not idle:
             return False
-        min(idle, key=self._eviction_order).force_close()
+        self._evict(min(idle, key=self._eviction_order), "idle")
         return True
 
+    def _evict(self, connection: ClientConnection, reason: str) -> None:
+        """Close a connection to make room for a new one, and log the reason."""
+        idle_ms = round((self._loop.time() - connection.idle_since) * 1000)
+        log.emit_rate_limited(
+            "client_connection_evicted", reason=reason, idle_ms=idle_ms, connections=len(self._connections)
+        )
+        connection.force_close()
+
     @staticmethod
     def _eviction_order(connection: ClientConnection) -> tuple[bool, bool, float]:
         return connection.has_served, not connection.is_idle, connection.idle_since
--- a/llm_router/transport/response_relay.py
+++ b/llm_router/transport/response_relay.py
@@ -15,7 +15,7 @@
 from llm_router.configuration import MAX_BODY_BYTES
 from llm_router.lifecycle import effects, events
 from llm_router.routing.events import AttemptStatus
-from llm_router.transport.clock import to_seconds
+from llm_router.transport.clock import elapsed_since, to_milliseconds, to_seconds
 from llm_router.transport.errors import MalformedResponseError
 from llm_router.transport.frontend_protocol import BufferedSink, ResponseSink, StreamSink
 from llm_router.transport.memory_budget import MemoryBudget, MemoryShare
@@ -44,11 +44,19 @@
 
 @dataclass(slots=True)
 class StreamProgress:
-    """The progress of a stream to its client: whether it has started, and the last bytes sent."""
+    """The progress of a stream to its client: whether it has started, its bytes, and the last of them."""
 
     started: bool = False
+    relayed: int = 0  # bytes sent to the client
+    last_event_at: float = 0.0  # loop time in seconds
     tail: bytes = b""
 
+    def add(self, events: bytes) -> None:
+        """Record complete events that are sent to the client."""
+        self.relayed += len(events)
+        self.last_event_at = asyncio.get_running_loop().time()
+        self.tail = (self.tail + events)[-TAIL_SIZE:]
+
 
 def is_framed(response: aiohttp.ClientResponse) -> bool:
     """Return whether a response declares its length or is chunked, so that a truncation can be detected."""
@@ -92,12 +100,12 @@
             await self._relay_events(effect, sink, response, progress)
         except asyncio.CancelledError:
             if progress.started:
-                sink.abort()
+                self._abort(effect, sink, progress, "cancelled")
             raise
         except Exception as error:
             # Every kind of error ends the client's stream, so that the client does not wait for more events.
             if progress.started:
-                sink.abort()
+                self._abort(effect, sink, progress, repr(error)[:200])
             return RelayResult(self._status_of(effect, error), progress.tail)
         if not progress.started:
             return await self._discard(effect, response)
@@ -130,11 +138,25 @@
                 progress.started = True
                 self._feed(events.ResponseStarted(effect.request_id, effect.attempt))
                 await sink.start(response.status, response.headers)
-            progress.tail = (progress.tail + data)[-TAIL_SIZE:]
+            progress.add(data)
             await sink.write(data)
         if not progress.started:
             raise MalformedResponseError("the stream ended without an event")
 
+    @staticmethod
+    def _abort(effect: effects.OpenAttempt, sink: StreamSink, progress: StreamProgress, reason: str) -> None:
+        """End a stream that has started but is not complete, and log the reason."""
+        since_event = elapsed_since(progress.last_event_at)
+        log.emit_rate_limited(
+            "stream_aborted",
+            request=effect.request_id,
+            endpoint=effect.endpoint.name,
+            reason=reason,
+            relayed=progress.relayed,
+            since_event_ms=to_milliseconds(since_event),
+        )
+        sink.abort()
+
     @staticmethod
     async def _discard(effect: effects.OpenAttempt, response: aiohttp.ClientResponse) -> RelayResult:
         """Read a response that the client does not get, to its end or until the attempt is aborted.
