Take a stream for whole only if its last event came

The relay looked at the framing of the response alone: sound chunks and a last chunk, or a length that was reached. EventStreamParser, a module without I/O, now finds the events, and StreamRelay ends a stream without its last event like one that broke off. Each relay has a parser of its own; before, a second response to a request reset the parser of the first.

Lines are checked before they are complete, so that noise is found at once.

--- a/llm_router/transport/clock.py
+++ b/llm_router/transport/clock.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 MILLISECOND = timedelta(milliseconds=1)
+NANOSECONDS_PER_SECOND = 1_000_000_000
 
 
 def to_seconds(duration: timedelta) -> float:
@@ -29,6 +30,16 @@
     return to_duration(asyncio.get_running_loop().time() - start)
 
 
+def loop_nanoseconds() -> int:
+    """Return the time of the running event loop in nanoseconds, the unit of the routing policy."""
+    return int(asyncio.get_running_loop().time() * NANOSECONDS_PER_SECOND)
+
+
+def nanoseconds_to_seconds(nanoseconds: int) -> float:
+    """Return a duration or time of the routing policy in seconds, the unit of the event loop's clock."""
+    return nanoseconds / NANOSECONDS_PER_SECOND
+
+
 class Clock:
     """A monotonic clock that is set to the wall-clock time when the router starts.
 
--- a/llm_router/transport/event_stream.py
+++ b/llm_router/transport/event_stream.py
@@ -2,18 +2,12 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Awaitable, Callable, Mapping
 
 from aiohttp import web
 
-from llm_router.configuration import MAX_BODY_BYTES
 from llm_router.transport.client_answer import ClientAnswer
 
-MAX_EVENT_SIZE = 64 * 1024  # maximum bytes of one event
-EVENT_LINES = re.compile(rb"(?:(?:(?:data|event|id|retry)?:[^\n]*|\r?)\n)*")
-EVENT_ENDS = (b"\n\n", b"\n\r\n")
-
 
 class StreamedResponse(web.StreamResponse):
     """A streamed response to a client; after an abort the final chunk is never sent."""
@@ -44,10 +38,7 @@
 
 
 class EventStreamSink:
-    """Forwards a response's events to a client, each as soon as it is complete.
-
-    This detects a malformed stream before it is forwarded. A wrong chunk size leads to lines that belong to
-    no event; a huge chunk size leads to an event or a stream over the size limit."""
+    """Sends a response's events to a client as a chunked stream."""
 
     buffered = False
 
@@ -59,42 +50,6 @@
         # Returns whether the client's connection closes after the stream, as far as it is known now.
         self._closes_after = closes_after
         self.answer = ClientAnswer()
-        self.reset()
-
-    def reset(self) -> None:
-        """Prepare for a new attempt's stream by discarding the data of the previous one."""
-        self._incomplete = b""  # the received part of an incomplete event
-        self._received_size = 0
-
-    def feed(self, data: bytes) -> bytes:
-        """Add a piece of the stream and return the events that it completes.
-
-        Raise ValueError if the stream is malformed."""
-        self._received_size += len(data)
-        if self._received_size > MAX_BODY_BYTES:
-            raise ValueError(f"stream is over the limit of {MAX_BODY_BYTES} bytes")
-        data = self._incomplete + data
-        end = max((data.rfind(mark) + len(mark) for mark in EVENT_ENDS if mark in data), default=0)
-        events = data[:end]
-        self._incomplete = data[end:]
-        if len(self._incomplete) > MAX_EVENT_SIZE:
-            raise ValueError(f"event is over the limit of {MAX_EVENT_SIZE} bytes")
-        if events and not EVENT_LINES.fullmatch(events):
-            raise ValueError("stream contains a line that is not a valid server-sent event field")
-        return events
-
-    def flush(self, framed: bool) -> bytes:
-        """Return the last event at the stream's end, even if no empty line follows it.
-
-        Raise ValueError if the event is malformed. Raise ConnectionError if the stream is not `framed`,
-        because a truncated stream could not be distinguished from a complete one."""
-        if not framed:
-            raise ConnectionError("stream may be truncated: it has no content length and is not chunked")
-        events = self._incomplete
-        self._incomplete = b""
-        if events and not EVENT_LINES.fullmatch(events if events.endswith(b"\n") else events + b"\n"):
-            raise ValueError("stream ends with a line that is not a valid server-sent event field")
-        return events
 
     async def start(self, _status: int, _headers: Mapping[str, str]) -> None:
         """Send the response head, which is the same for all streams."""
--- a/llm_router/transport/frontend_protocol.py
+++ b/llm_router/transport/frontend_protocol.py
@@ -49,7 +49,7 @@
 
 
 class ResponseSink(Protocol):
-    """The receiver of a response: a `BufferedSink` if `buffered` is True, else a `StreamSink`."""
+    """The receiver of a response: a `BufferedSink` if `buffered` is True."""
 
     @property
     def buffered(self) -> bool:
@@ -72,25 +72,6 @@
         """End a started response so that the client can tell it is incomplete, which completes the answer."""
 
 
-class StreamSink(ResponseSink, Protocol):
-    """A sink that relays a stream of events."""
-
-    def reset(self) -> None:
-        """Prepare for a new attempt's stream by discarding the data of the previous one."""
-
-    def feed(self, data: bytes) -> bytes:
-        """Add a piece of the stream and return the events that it completes.
-
-        Raise ValueError if the stream is malformed."""
-
-    def flush(self, framed: bool) -> bytes:
-        """Return the last event at the stream's end, even if no empty line follows it.
-
-        `framed` tells whether HTTP framing would reveal a truncated stream. Raise ValueError if the event is
-        malformed. Raise ConnectionError if the stream is not `framed`, because a truncated stream could not
-        be distinguished from a complete one."""
-
-
 class BufferedSink(ResponseSink, Protocol):
     """A sink that relays a response as a whole."""
 
--- a/llm_router/transport/response_relay.py
+++ b/llm_router/transport/response_relay.py
@@ -15,13 +15,15 @@
 from llm_router.configuration import MAX_BODY_BYTES
 from llm_router.lifecycle import effects, events
 from llm_router.routing.events import AttemptStatus
-from llm_router.transport.clock import elapsed_since, to_milliseconds, to_seconds
+from llm_router.transport.clock import to_seconds
 from llm_router.transport.errors import MalformedResponseError
-from llm_router.transport.frontend_protocol import BufferedSink, ResponseSink, StreamSink
+from llm_router.transport.frontend_protocol import BufferedSink, ResponseSink
 from llm_router.transport.memory_budget import MemoryBudget, MemoryShare
+from llm_router.transport.stream_relay import StreamRelay
 
-TAIL_SIZE = 2048  # bytes kept from the end of a stream, which contains token usage and the load report
-EVENT_TIMEOUT = timedelta(seconds=4.8)  # maximum time between two events; a client must not wait for 5 s
+# Maximum time between two pieces of a response that is read and not passed on.
+DISCARD_TIMEOUT = timedelta(seconds=4.8)
+MAX_REASON_LENGTH = 200  # maximum characters of an error in the log
 BODY_COPIES = 2  # A buffered body is copied when it is complete.
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
 
@@ -34,42 +36,13 @@
     tail: bytes = b""
 
 
-@dataclass(slots=True, frozen=True)
-class StreamPiece:
-    """The complete events from one read; `is_last` is true at the end of the stream."""
-
-    events: bytes
-    is_last: bool
-
-
-@dataclass(slots=True)
-class StreamProgress:
-    """The progress of a stream to its client: whether it has started, its bytes, and the last of them."""
-
-    started: bool = False
-    relayed: int = 0  # bytes sent to the client
-    last_event_at: float = 0.0  # loop time in seconds
-    tail: bytes = b""
-
-    def add(self, events: bytes) -> None:
-        """Record complete events that are sent to the client."""
-        self.relayed += len(events)
-        self.last_event_at = asyncio.get_running_loop().time()
-        self.tail = (self.tail + events)[-TAIL_SIZE:]
-
-
-def is_framed(response: aiohttp.ClientResponse) -> bool:
-    """Return whether a response declares its length or is chunked, so that a truncation can be detected."""
-    return "Transfer-Encoding" in response.headers or "Content-Length" in response.headers
-
-
 def log_malformed_response(effect: effects.OpenAttempt, error: Exception) -> None:
     """Log that an attempt's response is malformed; the endpoint is reachable and may have run the request."""
     log.emit_rate_limited(
         "response_malformed",
         endpoint=effect.endpoint.name,
         request=effect.request_id,
-        error=str(error)[:200],
+        error=str(error)[:MAX_REASON_LENGTH],
     )
 
 
@@ -86,76 +59,28 @@
         """Relay an attempt's response to its client and return the outcome."""
         if sink.buffered:
             return await self._relay_buffered(effect, cast(BufferedSink, sink), response)
-        return await self._relay_stream(effect, cast(StreamSink, sink), response)
+        return await self._relay_stream(effect, sink, response)
 
     async def _relay_stream(
-        self, effect: effects.OpenAttempt, sink: StreamSink, response: aiohttp.ClientResponse
+        self, effect: effects.OpenAttempt, sink: ResponseSink, response: aiohttp.ClientResponse
     ) -> RelayResult:
         """Relay a stream event by event, unless the client has another answer when its first event comes.
 
         If the stream fails after its first event was sent, the client's connection is closed as well."""
-        sink.reset()
-        progress = StreamProgress()
+        stream = StreamRelay(effect, sink, response, self._feed)
         try:
-            await self._relay_events(effect, sink, response, progress)
+            await stream.run()
         except asyncio.CancelledError:
-            if progress.started:
-                self._abort(effect, sink, progress, "cancelled")
+            stream.abort("cancelled")
             raise
         except Exception as error:
             # Every kind of error ends the client's stream, so that the client does not wait for more events.
-            if progress.started:
-                self._abort(effect, sink, progress, repr(error)[:200])
-            return RelayResult(self._status_of(effect, error), progress.tail)
-        if not progress.started:
+            stream.abort(repr(error)[:MAX_REASON_LENGTH])
+            return RelayResult(self._status_of(effect, error), stream.tail)
+        if not stream.has_started:
             return await self._discard(effect, response)
         await sink.finish()
-        return RelayResult(AttemptStatus.OK, progress.tail)
-
-    async def _relay_events(
-        self,
-        effect: effects.OpenAttempt,
-        sink: StreamSink,
-        response: aiohttp.ClientResponse,
-        progress: StreamProgress,
-    ) -> None:
-        """Relay each event once it is complete and valid, so that no malformed event reaches the client.
-
-        Stop at the first event if the client has another answer."""
-        is_last = False
-        while not is_last:
-            async with asyncio.timeout(to_seconds(EVENT_TIMEOUT) if progress.started else None):
-                piece = await self._read_events(sink, response)
-            is_last = piece.is_last
-            data = piece.events
-            if is_last:
-                data = sink.flush(framed=response.content.at_eof() and is_framed(response))
-            if not data:
-                continue
-            if not progress.started:
-                if not sink.answer.claim():
-                    return
-                progress.started = True
-                self._feed(events.ResponseStarted(effect.request_id, effect.attempt))
-                await sink.start(response.status, response.headers)
-            progress.add(data)
-            await sink.write(data)
-        if not progress.started:
-            raise MalformedResponseError("the stream ended without an event")
-
-    @staticmethod
-    def _abort(effect: effects.OpenAttempt, sink: StreamSink, progress: StreamProgress, reason: str) -> None:
-        """End a stream that has started but is not complete, and log the reason."""
-        since_event = elapsed_since(progress.last_event_at)
-        log.emit_rate_limited(
-            "stream_aborted",
-            request=effect.request_id,
-            endpoint=effect.endpoint.name,
-            reason=reason,
-            relayed=progress.relayed,
-            since_event_ms=to_milliseconds(since_event),
-        )
-        sink.abort()
+        return RelayResult(AttemptStatus.OK, stream.tail)
 
     @staticmethod
     async def _discard(effect: effects.OpenAttempt, response: aiohttp.ClientResponse) -> RelayResult:
@@ -167,24 +92,13 @@
         size = 0
         with suppress(*CONNECTION_ERRORS):
             while size <= MAX_BODY_BYTES:
-                async with asyncio.timeout(to_seconds(EVENT_TIMEOUT)):
+                async with asyncio.timeout(to_seconds(DISCARD_TIMEOUT)):
                     piece = await response.content.readany()
                 if not piece:
                     break
                 size += len(piece)
         return RelayResult(AttemptStatus.CANCELLED)
 
-    @staticmethod
-    async def _read_events(sink: StreamSink, response: aiohttp.ClientResponse) -> StreamPiece:
-        """Read until an event is complete or the stream ends.
-
-        Part of an event does not restart the event timeout."""
-        while True:
-            data = await response.content.readany()
-            complete = sink.feed(data)
-            if complete or not data:
-                return StreamPiece(complete, is_last=not data)
-
     @staticmethod
     def _status_of(effect: effects.OpenAttempt, error: Exception) -> AttemptStatus:
         """Return the attempt's status after a stream error; log the error unless the connection broke."""
--- /dev/null
+++ b/llm_router/transport/stream_relay.py
@@ -0,0 +1,122 @@
+"""Relays one endpoint's stream of events to a client."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+
+from llm_router import log
+from llm_router.lifecycle import effects, events
+from llm_router.routing.stream_timeout import StreamTimeout
+from llm_router.transport.clock import (
+    elapsed_since,
+    loop_nanoseconds,
+    nanoseconds_to_seconds,
+    to_milliseconds,
+)
+from llm_router.transport.errors import MalformedResponseError
+from llm_router.transport.event_parser import EventStreamParser, ParsedEvents
+from llm_router.transport.frontend_protocol import ResponseSink
+
+TAIL_SIZE = 2048  # bytes kept from the end of a stream, which contains token usage and the load report
+# Maximum bytes of one chunk. Endpoints write a chunk for each event; a wrong chunk size may be far larger.
+MAX_CHUNK_SIZE = 256 * 1024
+
+
+def is_chunked(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a response consists of chunks."""
+    return "Transfer-Encoding" in response.headers
+
+
+def is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a response declares its length or is chunked, so that a truncation can be detected."""
+    return is_chunked(response) or "Content-Length" in response.headers
+
+
+class StreamRelay:
+    """Relays the response to one attempt, each event once it is complete and valid.
+
+    `has_started` tells whether the client's answer was claimed for it, and `tail` has the last bytes sent."""
+
+    def __init__(
+        self,
+        effect: effects.OpenAttempt,
+        sink: ResponseSink,
+        response: aiohttp.ClientResponse,
+        feed: Callable[[events.Event], None],
+    ) -> None:
+        self._effect = effect
+        self._sink = sink
+        self._response = response
+        self._feed = feed
+        self._parser = EventStreamParser()
+        self._timeout: StreamTimeout | None = None  # None until the first event
+        self._chunk_size = 0  # received bytes of the chunk that is not complete
+        self._sent_size = 0  # bytes sent to the client
+        self._last_event_at = 0.0  # loop time in seconds
+        self.tail = b""
+
+    @property
+    def has_started(self) -> bool:
+        """Whether an event was passed on to the client."""
+        return self._timeout is not None
+
+    async def run(self) -> None:
+        """Relay the stream to its end, but stop at its first event if the client has another answer.
+
+        Raise an error if the stream breaks off, stalls or is malformed, also if its last event is missing."""
+        while (piece := await self._read_piece()) is not None:
+            parsed = self._parser.feed(piece)
+            if parsed.data and not await self._forward(parsed):
+                return
+        if not (self._response.content.at_eof() and is_framed(self._response)):
+            raise ConnectionError("stream may be truncated: it has no content length and is not chunked")
+        last = self._parser.finish()
+        if last.data:
+            await self._forward(last)
+
+    async def _read_piece(self) -> bytes | None:
+        """Return the next bytes of the stream, or None at its end.
+
+        Raise TimeoutError if the stream stalls, and MalformedResponseError if a chunk is too large."""
+        expires_at = None if self._timeout is None else nanoseconds_to_seconds(self._timeout.expires_at)
+        async with asyncio.timeout_at(expires_at):
+            piece, is_chunk_end = await self._response.content.readchunk()
+        if not piece and not is_chunk_end:
+            return None
+        self._chunk_size += len(piece)
+        if self._chunk_size > MAX_CHUNK_SIZE:
+            raise MalformedResponseError(f"chunk is over the limit of {MAX_CHUNK_SIZE} bytes")
+        return piece
+
+    async def _forward(self, parsed: ParsedEvents) -> bool:
+        """Send events to the client; return False if the client has another answer."""
+        if self._timeout is None:
+            if not self._sink.answer.claim():
+                return False
+            self._timeout = StreamTimeout(loop_nanoseconds())
+            self._feed(events.ResponseStarted(self._effect.request_id, self._effect.attempt))
+            await self._sink.start(self._response.status, self._response.headers)
+        self._sent_size += len(parsed.data)
+        self.tail = (self.tail + parsed.data)[-TAIL_SIZE:]
+        self._last_event_at = asyncio.get_running_loop().time()
+        await self._sink.write(parsed.data)
+        self._timeout.event_completed(loop_nanoseconds())
+        return True
+
+    def abort(self, reason: str) -> None:
+        """End the client's stream without its last chunk if it has started, and log the reason."""
+        if not self.has_started:
+            return
+        since_event = elapsed_since(self._last_event_at)
+        log.emit_rate_limited(
+            "stream_aborted",
+            request=self._effect.request_id,
+            endpoint=self._effect.endpoint.name,
+            reason=reason,
+            relayed=self._sent_size,
+            since_event_ms=to_milliseconds(since_event),
+        )
+        self._sink.abort()
