Let only events extend the time that a stream may wait, and only events start it

The same bytes before the first event stopped the request's deadline and forbade a retry.

An event has a data line that is not empty. Comments before the first event are kept until it comes, within the limit of one event.

--- a/llm_router/transport/event_parser.py
+++ b/llm_router/transport/event_parser.py
@@ -81,6 +81,8 @@
         lines = self._lines + lines
         end = max((lines.rfind(mark) + len(mark) for mark in BLOCK_ENDS if mark in lines), default=0)
         has_event = self._record_events(lines[:end])
+        if not self._last_data:
+            end = 0
         self._lines = lines[end:]
         self._event_size = _data_size(self._lines)
         return ParsedEvents(lines[:end], has_event)
--- a/llm_router/transport/stream_relay.py
+++ b/llm_router/transport/stream_relay.py
@@ -103,7 +103,8 @@
         self.tail = (self.tail + parsed.data)[-TAIL_SIZE:]
         self._last_event_at = asyncio.get_running_loop().time()
         await self._sink.write(parsed.data)
-        self._timeout.event_completed(loop_nanoseconds())
+        if parsed.has_event:
+            self._timeout.event_completed(loop_nanoseconds())
         return True
 
     def abort(self, reason: str) -> None:
--- a/tests/frontends/test_stream_ends.py
+++ b/tests/frontends/test_stream_ends.py
@@ -1,5 +1,9 @@
 """Checks when a stream counts as whole, as stalled and as too long."""
 
+import asyncio
+import functools
+import time
+
 import pytest
 from stand_ins import (
     EVENT,
@@ -14,6 +18,7 @@
 )
 
 LAST_CHUNK = b"0\r\n\r\n"
+EVENT_LIMIT = 5.0  # seconds after an event until the connection of its client must end
 
 
 def streaming(write_stream):
@@ -69,3 +74,75 @@
             assert not await program.stop_and_read_internal_errors()
 
     run(test())
+
+
+PAUSE = 0.4  # seconds between two pieces of a stalled stream
+STALLS = {
+    "comments": b": still here\n\n",
+    "empty lines": b"\n",
+    "empty lines with a carriage return": b"\r\n",
+    "comments without an empty line": b": still here\n",
+    "a comment without an end": b": still here",
+    "events without data": b"event: ping\nid: 1\n\n",
+    "empty data": b"data:\n\n",
+    "single bytes of an event": b"x",
+}
+STALL_STARTS = {"a comment without an end": b": ", "single bytes of an event": b"data: "}
+
+
+def stalled_stream(name):
+    """Return a coroutine function that streams one event, and then pieces that complete no further one."""
+
+    async def write(writer):
+        writer.write(STREAM + chunk(EVENT) + chunk(STALL_STARTS.get(name, b": start\n\n")))
+        while True:
+            await asyncio.sleep(PAUSE)
+            writer.write(chunk(STALLS[name]))
+
+    return write
+
+
+async def write_by_id(streams, call, writer):
+    """Answer a chat request with the stream that has its id; answer other calls like a decode endpoint."""
+    if call[0].startswith("POST /v1/chat"):
+        await streams[call[1]["x-correlation-id"]](writer)
+    else:
+        await decode(call, writer)
+
+
+# Guards against a client that is left waiting while its endpoint sends bytes that belong to no event.
+def test_a_stream_without_another_event_ends_in_time_whatever_else_comes(tmp_path):
+    streams = {f"r{number}": stalled_stream(name) for number, name in enumerate(STALLS)}
+
+    async def waited(program, request_id):
+        begun = time.monotonic()
+        received = await read_until_closed(program, chat_request(id=request_id))
+        assert EVENT in received and not received.endswith(LAST_CHUNK)
+        return time.monotonic() - begun
+
+    async def test():
+        async with router_with_endpoints(tmp_path, decode=functools.partial(write_by_id, streams)) as program:
+            times = await asyncio.gather(*(waited(program, request_id) for request_id in streams))
+            late = {name: at for name, at in zip(STALLS, times, strict=True) if at > EVENT_LIMIT}
+            assert not late
+            assert not await program.stop_and_read_internal_errors()
+
+    run(test())
+
+
+# Guards against a comment that stops the deadline of a request like its first event.
+def test_a_comment_before_the_first_event_does_not_stop_the_deadline(tmp_path):
+    async def write(writer):
+        writer.write(STREAM)
+        while True:
+            writer.write(chunk(b": working\n\n"))
+            await asyncio.sleep(0.1)
+
+    async def test():
+        async with router_with_endpoints(tmp_path, decode=streaming(write)) as program:
+            begun = time.monotonic()
+            answer = await program.exchange(chat_request(time_remaining_ms=1000))
+            assert answer.status in (502, 503) and time.monotonic() - begun < 1.5
+            assert not await program.stop_and_read_internal_errors()
+
+    run(test())
