Forward long streams and slowly written events whole

The size limit now holds for one chunk, which is what a wrong chunk size of gigabytes needs. Bytes of an incomplete event extend the time limit, each by what it may take at 100 bytes a second, so that an endpoint that trickles single bytes still ends the stream within 5 s.

--- a/llm_router/transport/stream_relay.py
+++ b/llm_router/transport/stream_relay.py
@@ -71,6 +71,8 @@
             parsed = self._parser.feed(piece)
             if parsed.data and not await self._forward(parsed):
                 return
+            if self._timeout is not None:
+                self._timeout.event_grew(loop_nanoseconds(), self._parser.incomplete_size)
         if not (self._response.content.at_eof() and is_framed(self._response)):
             raise ConnectionError("stream may be truncated: it has no content length and is not chunked")
         last = self._parser.finish()
@@ -87,8 +89,10 @@
         if not piece and not is_chunk_end:
             return None
         self._chunk_size += len(piece)
-        if self._chunk_size > MAX_CHUNK_SIZE:
+        if is_chunked(self._response) and self._chunk_size > MAX_CHUNK_SIZE:
             raise MalformedResponseError(f"chunk is over the limit of {MAX_CHUNK_SIZE} bytes")
+        if is_chunk_end:
+            self._chunk_size = 0
         return piece
 
     async def _forward(self, parsed: ParsedEvents) -> bool:
--- a/tests/frontends/test_stream_ends.py
+++ b/tests/frontends/test_stream_ends.py
@@ -6,6 +6,7 @@
 
 import pytest
 from stand_ins import (
+    DONE,
     EVENT,
     STREAM,
     USAGE,
@@ -146,3 +147,41 @@
             assert not await program.stop_and_read_internal_errors()
 
     run(test())
+
+
+LONG_EVENT = b'data: {"text":"' + b"x" * 6000 + b'"}\n\n'
+
+
+async def write_many_events(writer):
+    """Stream 600 KB of events."""
+    writer.write(STREAM)
+    event = b'data: {"text":"' + b"x" * 2000 + b'"}\n\n'
+    for _ in range(300):
+        writer.write(chunk(event))
+        await asyncio.sleep(0.001)
+    writer.write(chunk(DONE) + LAST_CHUNK)
+
+
+async def write_one_event_slowly(writer):
+    """Stream an event in pieces of 500 bytes, one each half second."""
+    writer.write(STREAM + chunk(EVENT))
+    for start in range(0, len(LONG_EVENT), 500):
+        await asyncio.sleep(0.5)
+        writer.write(chunk(LONG_EVENT[start : start + 500]))
+    writer.write(chunk(DONE) + LAST_CHUNK)
+
+
+# Guards against a long or slow answer that is cut while its endpoint still writes events.
+def test_a_stream_is_forwarded_whole_however_long_or_slow_its_endpoint_writes(tmp_path):
+    streams = {"many": write_many_events, "slow": write_one_event_slowly}
+
+    async def test():
+        async with router_with_endpoints(tmp_path, decode=functools.partial(write_by_id, streams)) as program:
+            many, slow = await asyncio.gather(
+                *(program.exchange(chat_request(id=request_id)) for request_id in streams)
+            )
+            assert many.body.count(b"data: {") == 300 and many.body.endswith(DONE)
+            assert slow.body == EVENT + LONG_EVENT + DONE
+            assert not await program.stop_and_read_internal_errors()
+
+    run(test())
