Remember the ids of unsafe requests, so that none runs again after its client has left

The platform's front end compared an id with open requests alone. While the first one's KV state was being released the second caller got 503, which promises that there was no effect; later it ran.

The id of a request whose class is not safe is now its idempotency key, as KServe's requests have one. It is kept for ten minutes after a request that may have run, and is free at once after one that has not. The conflict is checked before the release, so that the second caller gets 409. An attempt that was cancelled before it was written counts as not run.

--- a/llm_router/configuration/schema.py
+++ b/llm_router/configuration/schema.py
@@ -100,6 +100,8 @@
     idempotency_capacity: int = 50_000  # maximum number of stored idempotency keys
     # The router stores an idempotency key for this time.
     idempotency_retention: timedelta = timedelta(minutes=10)
+    # Whether the oldest key is forgotten when all are in use, rather than requests rejected.
+    forgets_oldest_key: bool = False
     xds_files: XdsFiles | None = None
 
     def changes_requiring_restart(self, new: RouterConfig) -> list[str]:
--- a/llm_router/frontends/platform/client_request.py
+++ b/llm_router/frontends/platform/client_request.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Container, Mapping
+from collections.abc import Mapping
 from datetime import timedelta
 
 from llm_router.frontends.platform.names import (
@@ -21,20 +21,21 @@
     subtract_response_margin,
 )
 from llm_router.lifecycle.events import RequestReceived
+from llm_router.routing.settings import ClassSettings, Idempotency
 
 REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9_.:-]{1,128}")
 MAX_DIGITS = 9  # maximum number of digits of a whole number in a header
 
 
-def parse_request(headers: Mapping[str, str], class_names: Container[str]) -> RequestReceived:
-    """Return the request event that the headers describe.
+def parse_request(headers: Mapping[str, str], classes: Mapping[str, ClassSettings]) -> RequestReceived:
+    """Return the request event that the headers describe; `classes` has the settings by class name.
 
     Raise InvalidRequestError for the first invalid header."""
     request_id = headers.get(REQUEST_ID, "")
     if not REQUEST_ID_PATTERN.fullmatch(request_id):
         raise InvalidRequestError(f"{REQUEST_ID}: is missing or malformed")
     class_name = headers.get(SERVICE_CLASS, "")
-    if class_name not in class_names:
+    if class_name not in classes:
         raise InvalidRequestError(f"{SERVICE_CLASS}: is not a known class")
     time_remaining = _time_remaining(headers)
     facts = _facts(headers)
@@ -44,6 +45,7 @@
     session = _key(SESSION, headers.get(SESSION, ""))
     prefix = _key(f"{FACTS}: prefix", facts.get("prefix", ""))
     retry = headers.get(RETRY)
+    may_run_twice = classes[class_name].idempotency is Idempotency.SAFE
     return RequestReceived(
         request_id=request_id,
         class_name=class_name,
@@ -55,6 +57,7 @@
         prefix_tokens=prefix_tokens,
         is_retry=retry is not None and retry != RESUMED,
         resumed=retry == RESUMED,
+        idempotency_key=None if may_run_twice else request_id,
     )
 
 
--- a/llm_router/frontends/platform/frontend.py
+++ b/llm_router/frontends/platform/frontend.py
@@ -5,6 +5,7 @@
 import orjson
 from aiohttp import web
 
+from llm_router import log
 from llm_router.configuration import RouterConfig
 from llm_router.frontends.platform.client_request import parse_request
 from llm_router.frontends.platform.names import CHAT_PATH, READINESS_PATH
@@ -22,7 +23,7 @@
 
     def __init__(self, config: RouterConfig, runtime: Runtime, memory: MemoryBudget) -> None:
         self.config, self.runtime = config, runtime
-        self.class_names = {each.name for each in config.settings.classes}
+        self._classes = {each.name: each for each in config.settings.classes}
         self.server = FrontendServer(config, self.handle, plain_text_error, memory)
 
     @property
@@ -39,7 +40,7 @@
         if request.method != "POST":
             return plain_text_error(405, "method not allowed; use POST", close=True)
         try:
-            received = parse_request(request.headers, self.class_names)
+            received = parse_request(request.headers, self._classes)
         except InvalidRequestError as error:
             return plain_text_error(400, str(error), close=True)
         with self.server.reserved_body(request) as is_reserved:
@@ -58,7 +59,8 @@
             return _overloaded(close=not self.server.has_input_behind(request))
         await self.server.detect_disconnect(request)
         if received.request_id in self.runtime.proxied_requests:
-            return plain_text_error(409, "a request with this id is running")
+            log.emit_rate_limited("request_id_conflict", request=received.request_id, earlier="open")
+            return plain_text_error(409, "a request with this id is running or may have run")
         if len(self.runtime.proxied_requests) >= self.config.max_open_requests:
             return _overloaded(close=not self.server.has_input_behind(request))
         received = subtract_queueing_delay(received, self.server.queueing_delay(request))
--- a/llm_router/frontends/platform/proxied_request.py
+++ b/llm_router/frontends/platform/proxied_request.py
@@ -56,9 +56,9 @@
         self.sink.answer.give(web.Response(status=503, headers=headers, text="refused\n"))
 
     def fail(self, id_conflict: bool) -> None:
-        """Answer that the request failed, or that another request with the same id is running."""
+        """Answer that the request failed, or that a request with its id is running or may have run."""
         self.sink.answer.give(
-            plain_text_error(409, "a request with this id is running")
+            plain_text_error(409, "a request with this id is running or may have run")
             if id_conflict
             else plain_text_error(502, "failed")
         )
--- a/llm_router/lifecycle/attempt.py
+++ b/llm_router/lifecycle/attempt.py
@@ -112,8 +112,8 @@
 
     @property
     def may_have_run(self) -> bool:
-        """Whether the attempt has ended and may have had an effect; a prefill has none."""
-        return not self.is_prefill and self.status in MAY_HAVE_RUN
+        """Whether the attempt has ended and may have had an effect; one that was not written has none."""
+        return not self.is_prefill and self.was_written and self.status in MAY_HAVE_RUN
 
     @property
     def outcome(self) -> str:
--- a/llm_router/lifecycle/idempotency_registry.py
+++ b/llm_router/lifecycle/idempotency_registry.py
@@ -12,10 +12,13 @@
 
     A client may repeat a request, for example a booking, while the first one runs or after it may have run. A
     key is registered when its request is accepted. It is removed `retention` after the end of the request, or
-    at the end if the request has certainly not run."""
+    at the end if the request has certainly not run.
 
-    capacity: int
+    A full registry accepts no key, or forgets the oldest one that has ended if `forgets_oldest` is true."""
+
+    capacity: int  # maximum number of keys
     retention: timedelta
+    forgets_oldest: bool = False
     running: set[str] = field(default_factory=set)
     completed: dict[str, timedelta] = field(default_factory=dict)  # end times by key, oldest first
 
@@ -26,11 +29,17 @@
 
     @property
     def is_full(self) -> bool:
-        """Whether the registry is full; dropping a key early to make room could let a request run twice."""
+        """Whether the registry accepts no key; forgetting one early could let a request run twice."""
+        return not self.forgets_oldest and self._has_no_room
+
+    @property
+    def _has_no_room(self) -> bool:
         return len(self.running) + len(self.completed) >= self.capacity
 
     def start(self, key: str) -> None:
         """Register the key of a request that starts to run."""
+        if self.completed and self._has_no_room:
+            del self.completed[next(iter(self.completed))]
         self.running.add(key)
 
     def end(self, key: str, now: timedelta, may_have_run: bool) -> None:
--- a/llm_router/lifecycle/request_events.py
+++ b/llm_router/lifecycle/request_events.py
@@ -51,15 +51,17 @@
 ) -> effects.SendRejection | effects.SendFailure | None:
     """Return the answer to a request that cannot be accepted, or None if it can."""
     existing = state.requests.get(event.request_id)
-    if existing is not None and existing.only_lease_remains:
-        # Release calls for the earlier request with this id would free the KV state of this one.
-        reason = "the KV state of an earlier request with this id is still being released"
-        return effects.SendRejection(event.request_id, RETRY_AFTER, reason)
     key, registry = event.idempotency_key, state.idempotency_registry
-    if existing is not None or (key and registry.conflicts(key, now)):
+    is_running = existing is not None and not existing.only_lease_remains
+    # This comes first, because a rejection states that the request had no effect.
+    if is_running or (key and registry.conflicts(key, now)):
         return effects.SendFailure(
             event.request_id, "a request with this id is running or may have run", id_conflict=True
         )
+    if existing is not None:
+        # Release calls for the earlier request with this id would free the KV state of this one.
+        reason = "the KV state of an earlier request with this id is still being released"
+        return effects.SendRejection(event.request_id, RETRY_AFTER, reason)
     if key and registry.is_full:
         return effects.SendRejection(
             event.request_id, RETRY_AFTER, "the registry of idempotency keys is full"
--- a/llm_router/transport/runtime.py
+++ b/llm_router/transport/runtime.py
@@ -62,7 +62,9 @@
         self.pool = pool
         # The unanswered requests by id, from their receipt to their final answer.
         self.proxied_requests: dict[str, ProxiedRequest] = {}
-        registry = IdempotencyRegistry(config.idempotency_capacity, config.idempotency_retention)
+        registry = IdempotencyRegistry(
+            config.idempotency_capacity, config.idempotency_retention, config.forgets_oldest_key
+        )
         self.state = RouterState(config.settings, RoutingPolicy(config.settings, config.seed), registry)
         self._clock = Clock()
         self._loop = asyncio.get_running_loop()
--- a/tests/frontends/test_departed_clients.py
+++ b/tests/frontends/test_departed_clients.py
@@ -23,7 +23,7 @@
 )
 
 CLIENTS = 6
-REJECTION_DELAY = 0.15  # seconds after which an endpoint rejects an attempt
+REJECTION_DELAY = 0.3  # seconds after which an endpoint rejects an attempt
 STAY = 0.05  # seconds from a client's first byte to its close
 GRACE = 0.1  # seconds after the close of a client in which an attempt for it may still begin
 OBSERVED = 1.5  # seconds for which late attempts are awaited
@@ -78,7 +78,7 @@
     host, port = address.split(":")
     client = socket.create_connection((host, int(port)))
     client.setblocking(False)
-    rest = chat_request(id=request_id) + behind
+    rest = chat_request(id=request_id, cls="booking", time_remaining_ms=9000) + behind
     end = time.monotonic() + STAY
     while time.monotonic() < end:
         rest = send_some(client, rest)
@@ -144,18 +144,51 @@
 
 
 # Guards against an id that runs again while or after its first attempt may have run, as its client left.
-def test_an_unsafe_request_whose_client_left_does_not_run_again_under_its_id(tmp_path):
+@pytest.mark.parametrize("behind", [b"", LARGE_BODY], ids=["nothing behind", "more behind"])
+def test_an_unsafe_request_whose_client_left_does_not_run_again_under_its_id(tmp_path, behind):
     async def test():
         async with router_with_endpoints(tmp_path, decode=hang_or_reject) as program:
             _, writer = await program.connect()
-            writer.write(chat_request(id="once", cls="booking"))
+            writer.write(chat_request(id="once", cls="booking") + behind)
             await program.decode_server.wait_for("POST /v1/chat")
             writer.transport.abort()
+            answers = []
             for _ in range(8):
-                answer = await program.exchange(chat_request(id="once", cls="booking"))
-                assert answer.status == 409
+                answers.append(await program.exchange(chat_request(id="once", cls="booking")))
                 await asyncio.sleep(0.1)
+            assert {answer.status for answer in answers} == {409}
             assert len(program.decode_server.named("POST /v1/chat")) == 1
             assert not await program.stop_and_read_internal_errors()
 
     run(test())
+
+
+# Guards against ids that stay taken although their requests have certainly not run.
+def test_an_id_is_free_again_if_its_client_left_before_anything_ran(tmp_path):
+    async def test():
+        async with router_with_endpoints(tmp_path, prefill=first_hangs(), decode=decode) as program:
+            _, writer = await program.connect()
+            writer.write(chat_request(id="again", cls="booking"))
+            await program.prefill_server.wait_for("POST /v1/chat")
+            writer.transport.abort()
+            statuses = []
+            while not statuses or statuses[-1] not in (200, 409):
+                statuses.append((await program.exchange(chat_request(id="again", cls="booking"))).status)
+                await asyncio.sleep(0.1)
+            assert statuses[-1] == 200
+            assert len(program.decode_server.named("POST /v1/chat")) == 1
+
+    run(test())
+
+
+def first_hangs():
+    """Return a prefill handler that answers all chat requests but the first."""
+    hanging = []
+
+    async def handler(call, writer):
+        if call[0].startswith("POST /v1/chat") and not hanging:
+            hanging.append(call)
+            await hang(call, writer)
+        await prefill(call, writer)
+
+    return handler
--- a/tests/lifecycle/test_reducer.py
+++ b/tests/lifecycle/test_reducer.py
@@ -169,6 +169,17 @@
     assert not registry.conflicts("a", 3 * SECOND) and not registry.is_full
 
 
+def test_a_registry_that_forgets_keys_keeps_the_running_and_the_latest_ones():
+    registry = IdempotencyRegistry(3, SECOND, forgets_oldest=True)
+    for key in ("a", "b", "c"):
+        registry.start(key)
+    registry.end("a", timedelta(), True)
+    registry.end("b", timedelta(), True)
+    assert not registry.is_full
+    registry.start("d")
+    assert [registry.conflicts(key, timedelta()) for key in "abcd"] == [False, True, True, True]
+
+
 def test_a_full_snapshot_removes_endpoints_and_changes_add_them(lifecycle):
     changes = endpoint("w2", "decode", EndpointStatus.REMOVED), endpoint("w3", "decode")
     lifecycle.feed(events.EndpointListReceived(changes, False))
