Read all input of a client, so that its close is seen behind whatever it has sent

With over 512 KiB behind a request, or less while the memory for input was used up, the transport stopped reading, and the end of the input or a reset behind these bytes was not seen until the request had ended.

The transport of an open connection now always reads. Before a request that has waited begins, and before each retry, the router waits until the input that has arrived is read (1 s at most, and no time for a client that sends nothing more).

The stand-in for a proxied request in test_pool.py got the new method; its checks are the same.

--- a/llm_router/frontends/kserve/proxied_request.py
+++ b/llm_router/frontends/kserve/proxied_request.py
@@ -16,6 +16,7 @@
 from llm_router.transport.client_answer import ClientAnswer
 from llm_router.transport.counted_response import CountedResponse
 from llm_router.transport.frontend_protocol import ResponseHead, ResponseTail, UpstreamRequest
+from llm_router.transport.http_server import client_connection
 from llm_router.transport.memory_budget import MemoryShare
 from llm_router.transport.responses import request_target
 
@@ -35,10 +36,15 @@
 
     def __init__(self, request: web.BaseRequest, received: RequestReceived, body: bytes) -> None:
         self.received = received
+        self._connection = client_connection(request)
         self.sink = BufferedResponseSink()
         self._body, self._path = body, request_target(request)
         self._headers = _forwarded_headers(request.headers)
 
+    async def wait_for_client_input(self) -> None:
+        """Wait until the input that the client has sent is read."""
+        await self._connection.wait_for_pending_input()
+
     def upstream_request(self, effect: OpenAttempt) -> UpstreamRequest:  # noqa: ARG002 - same request for every endpoint
         """Return the request to send to an endpoint."""
         return UpstreamRequest("POST", self._path, self._headers, self._body)
--- a/llm_router/frontends/platform/proxied_request.py
+++ b/llm_router/frontends/platform/proxied_request.py
@@ -13,6 +13,7 @@
 from llm_router.lifecycle.events import RequestReceived
 from llm_router.transport.event_stream import EventStreamSink, StreamedResponse
 from llm_router.transport.frontend_protocol import ResponseHead, ResponseTail, UpstreamRequest
+from llm_router.transport.http_server import client_connection
 from llm_router.transport.responses import plain_text_error, request_target
 from llm_router.transport.responses import retry_after as format_retry_after
 
@@ -30,6 +31,7 @@
         closes_after: Callable[[], bool],
     ) -> None:
         self.received = received
+        self._connection = client_connection(request)
         self._body = body
         self._method, self._path = request.method, request_target(request)
         self._content_type = request.headers.get("Content-Type", "application/json")
@@ -37,6 +39,10 @@
         self._response.enable_chunked_encoding()
         self.sink = EventStreamSink(request, self._response, closes_after)
 
+    async def wait_for_client_input(self) -> None:
+        """Wait until the input that the client has sent is read."""
+        await self._connection.wait_for_pending_input()
+
     def upstream_request(self, effect: OpenAttempt) -> UpstreamRequest:  # noqa: ARG002 - same request for every endpoint
         """Return the request to send to an endpoint."""
         headers = {REQUEST_ID: self.received.request_id, "Content-Type": self._content_type}
--- a/llm_router/transport/attempt_executor.py
+++ b/llm_router/transport/attempt_executor.py
@@ -71,6 +71,8 @@
         """Send the request, handle the response if one comes, and return how the attempt ended.
 
         The event `written` is set once the first bytes of the request may have been sent."""
+        if effect.attempt:
+            await request.wait_for_client_input()
         if effect.awaits_release:
             await self._releases.wait_for_acknowledgement(effect.request_id)
         upstream_request = request.upstream_request(effect)
--- a/llm_router/transport/client_connection.py
+++ b/llm_router/transport/client_connection.py
@@ -14,8 +14,8 @@
 
 from llm_router import log
 from llm_router.transport.clock import to_seconds
+from llm_router.transport.discarding_request_handler import DiscardingRequestHandler
 from llm_router.transport.event_stream import StreamedResponse
-from llm_router.transport.limited_request_handler import LimitedRequestHandler
 
 if TYPE_CHECKING:
     from llm_router.transport.http_server import HttpServer
@@ -47,7 +47,7 @@
 }
 
 
-class ClientConnection(LimitedRequestHandler):
+class ClientConnection(DiscardingRequestHandler):
     """A client connection that answers malformed input once and drops all input after it.
 
     Closing a socket that has unread input resets the connection, and the reset may discard the last response.
--- a/llm_router/transport/client_input.py
+++ b/llm_router/transport/client_input.py
@@ -88,6 +88,12 @@
         self.memory -= self._incomplete_memory
         self.incomplete_size = self._incomplete_memory = 0
 
+    def drop_last(self) -> None:
+        """Free the memory of the head that was completed last and still waits for its answer."""
+        if self._unanswered:
+            self.memory -= self._unanswered[-1]
+            self._unanswered[-1] = 0
+
     def drop_answered(self) -> None:
         """Forget the oldest complete head, if there is one."""
         if self._unanswered:
@@ -107,8 +113,8 @@
         """Update the connection's share of the memory, and return whether the connection may keep it."""
         return self._share.resize(self.heads.memory + self.buffer.size)
 
-    def must_pause(self) -> bool:
-        """Return whether the connection must not receive more until buffered input has been parsed."""
+    def is_too_large(self) -> bool:
+        """Return whether the buffered input is larger than the connection may keep."""
         fits = self.fits_in_memory()
         return bool(self.buffer) and (not fits or self.buffer.size > self._max_buffer_size)
 
--- a/llm_router/transport/event_loop.py
+++ b/llm_router/transport/event_loop.py
@@ -79,6 +79,6 @@
     return loop.selector.select_count if isinstance(loop, TimedEventLoop) else 0
 
 
-def limit_receive_size(transport: asyncio.BaseTransport) -> None:
+def set_receive_size(transport: asyncio.BaseTransport, size: int = RECEIVE_SIZE) -> None:
     """Limit the bytes that one call receives; this sets a private attribute of the pinned Python release."""
-    transport.max_size = RECEIVE_SIZE  # type: ignore[attr-defined]  # asyncio's selector transports have it
+    transport.max_size = size  # type: ignore[attr-defined]  # asyncio's selector transports have it
--- a/llm_router/transport/frontend_protocol.py
+++ b/llm_router/transport/frontend_protocol.py
@@ -93,6 +93,9 @@
     def sink(self) -> ResponseSink:
         """The receiver of the response."""
 
+    async def wait_for_client_input(self) -> None:
+        """Wait until the input that the client has sent is read, which shows whether the client has left."""
+
     def upstream_request(self, effect: OpenAttempt) -> UpstreamRequest:
         """Return the request to send to the endpoint for an attempt."""
 
--- a/llm_router/transport/frontend_server.py
+++ b/llm_router/transport/frontend_server.py
@@ -15,6 +15,7 @@
 from llm_router.transport.body_reader import BodyTooLargeError, read_body
 from llm_router.transport.clock import elapsed_since, to_seconds
 from llm_router.transport.http_server import (
+    WAS_REJECTED,
     ErrorResponse,
     Handler,
     HttpServer,
@@ -30,9 +31,6 @@
 BODY_TIMEOUT = timedelta(seconds=2.6)
 # The client of a request that was queued for longer than this may have disconnected.
 DISCONNECT_CHECK_AFTER = timedelta(milliseconds=30)
-# Number of loop iterations to wait for a client disconnect.
-# The disconnect is read, the connection is marked as lost, and the handler is cancelled in these iterations.
-DISCONNECT_CHECK_TURNS = 4
 # Share of the memory for peers' data that request bodies may use, and that other client input may use.
 BODY_MEMORY_SHARE = 2 / 3
 INPUT_MEMORY_SHARE = 1 / 6
@@ -99,7 +97,7 @@
         """Serve a request; during shutdown close its connection once no further input was received on it."""
         self.open_requests += 1
         try:
-            response = await self._handler(request)
+            response = await self._answer(request)
         except Exception as error:
             # After an internal error the client still gets a response in the frontend's protocol.
             log.emit("request_handler_failed", error=repr(error))
@@ -110,6 +108,12 @@
             response.force_close()
         return response
 
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Return the final answer to a request, also to one that was rejected before its turn."""
+        if request[WAS_REJECTED]:
+            return self._error_response(503, "the router is overloaded")
+        return await self._handler(request)
+
     def has_input_behind(self, request: web.BaseRequest) -> bool:
         """Return whether further requests, or a part of one, were received on the connection of a request."""
         return client_connection(request).has_input_behind
@@ -129,12 +133,10 @@
     async def detect_disconnect(request: web.BaseRequest) -> None:
         """Let the event loop read a client disconnect that may follow a queued request.
 
-        The loop reads the disconnect only after the request. If there is one, it cancels the handler here,
+        The loop reads the disconnect only after all input. If there is one, it cancels the handler here,
         before any work is done for the request."""
-        if FrontendServer.queueing_delay(request) <= DISCONNECT_CHECK_AFTER:
-            return
-        for _ in range(DISCONNECT_CHECK_TURNS):
-            await asyncio.sleep(0)
+        if FrontendServer.queueing_delay(request) > DISCONNECT_CHECK_AFTER:
+            await client_connection(request).wait_for_pending_input()
 
     @contextmanager
     def reserved_body(self, request: web.BaseRequest) -> Iterator[bool]:
--- a/llm_router/transport/http_server.py
+++ b/llm_router/transport/http_server.py
@@ -25,6 +25,7 @@
 from llm_router.transport.listener import Listener
 from llm_router.transport.memory_budget import MemoryBudget
 from llm_router.transport.rejected_connection import RejectedConnection, RejectedConnections
+from llm_router.transport.waiting_requests import is_rejected
 
 # Client connections are closed after this time without a complete request head.
 # Clients expect a response or a close within 3 s.
@@ -38,6 +39,9 @@
     ArrivalTime | None,  # type: ignore[arg-type]  # aiohttp uses the type only in the key's repr.
 )
 
+# Key under which a request stores whether it was rejected while it waited behind another one.
+WAS_REJECTED: web.RequestKey[bool] = web.RequestKey("was_rejected", bool)
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 ErrorResponse = Callable[..., web.Response]
 
@@ -106,6 +110,7 @@
         )
         arrival = cast(ClientConnection, protocol).start_request(message)
         request[ARRIVAL] = arrival if payload.is_eof() else None
+        request[WAS_REJECTED] = is_rejected(message)
         return request
 
     def waiting_since(self, transport: asyncio.BaseTransport) -> float:
--- a/llm_router/transport/limited_request_handler.py
+++ b/llm_router/transport/limited_request_handler.py
@@ -14,7 +14,7 @@
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
 from llm_router.transport.client_input import ArrivalTime, ClientInput, ReceivedPiece
-from llm_router.transport.event_loop import input_since, limit_receive_size, select_count
+from llm_router.transport.event_loop import input_since, select_count, set_receive_size
 from llm_router.transport.memory_budget import MemoryShare
 
 if TYPE_CHECKING:
@@ -110,7 +110,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the connection, and record how long it may have waited to be accepted."""
-        limit_receive_size(transport)
+        set_receive_size(transport)
         super().connection_made(transport)
         self._first_select_count = select_count(self._loop)
         if self._manager is not None:
@@ -129,17 +129,22 @@
         is_first = not self._request_count and selects <= FIRST_INPUT_SELECTS
         earliest = self.last_arrival.earliest if is_first else input_since(self._loop)
         piece = ReceivedPiece(data, ArrivalTime(earliest, self._loop.time()))
-        if self._buffers_input or self._held_input().buffer:
+        if self._must_buffer or self._held_input().buffer:
             self._held_input().buffer.append(piece)
         else:
             self._parse(piece)
-        self._pause_or_resume_transport()
+        self._limit_input()
+
+    @property
+    def _must_buffer(self) -> bool:
+        """Whether input has to wait until aiohttp parses more."""
+        return self._buffers_input
 
     def _parse(self, piece: ReceivedPiece) -> None:
         """Parse a piece of input in slices, and buffer the rest once aiohttp pauses reading."""
         position = 0
         while position < len(piece.data) and self.accepts_input:
-            if self._buffers_input:
+            if self._must_buffer:
                 self._held_input().buffer.put_back(ReceivedPiece(piece.data[position:], piece.arrival))
                 return
             end = position + self._slice_size()
@@ -154,10 +159,14 @@
         """Parse some bytes with this arrival."""
         body, had_body = self._body, not self._body.is_eof()
         self._feed_parser(data, arrival)
+        self._after_feed(arrival)
         if had_body and body.is_eof() and not self._messages and self.accepts_input:
             # The parser stops after each complete request, also after one whose handler is running.
             self._feed_parser(b"", arrival)
 
+    def _after_feed(self, arrival: ArrivalTime) -> None:
+        """Handle bytes that the parser has received; subclasses extend this."""
+
     def _feed_parser(self, data: bytes, arrival: ArrivalTime) -> None:
         """Pass bytes to the parser, and record which of them belong to heads."""
         requests_before, body_before = self._request_count, self._body.total_bytes
@@ -196,12 +205,18 @@
         if self._held_input().heads.incomplete_size > MAX_HEAD_SIZE:
             self._reject_input(431, f"request head or trailer exceeds {MAX_HEAD_SIZE} bytes")
         elif (
-            not self._held_input().fits_in_memory()
+            self._limits_heads_to_memory
+            and not self._held_input().fits_in_memory()
             and self._body.is_eof()
             and self._held_input().heads.incomplete_size
         ):
             self._reject_input(503, "no memory is left for a large request head")
 
+    @property
+    def _limits_heads_to_memory(self) -> bool:
+        """Whether a large incomplete head is rejected while the memory for input is used up."""
+        return True
+
     def _reject_input(self, status: int, message: str) -> None:
         """Answer an incomplete request with an error in its turn, and drop all further input."""
         self._held_input().heads.drop_incomplete()
@@ -248,17 +263,21 @@
         """Parse buffered input until the buffer is empty or aiohttp pauses reading."""
         if self._input is None:
             return
-        while self._input.buffer and not self._buffers_input:
+        while self._input.buffer and not self._must_buffer:
             self._parse(self._input.buffer.pop())
-        self._pause_or_resume_transport()
+        self._limit_input()
 
-    def _pause_or_resume_transport(self) -> None:
-        """Let the transport receive more unless too much input is buffered."""
-        if self.accepts_input and self._held_input().must_pause():
-            super()._pause_transport_reading()
+    def _limit_input(self) -> None:
+        """Let the transport receive more, or make room if too much input is buffered."""
+        if self.accepts_input and self._held_input().is_too_large():
+            self._make_room()
         else:
             super()._resume_transport_reading()
 
+    def _make_room(self) -> None:
+        """Pause the transport until buffered input has been parsed; subclasses may do more."""
+        super()._pause_transport_reading()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Free the input of the connection after it was closed."""
         super().connection_lost(exc)
--- a/llm_router/transport/rejected_connection.py
+++ b/llm_router/transport/rejected_connection.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 
 from llm_router.transport.clock import to_seconds
-from llm_router.transport.event_loop import limit_receive_size
+from llm_router.transport.event_loop import set_receive_size
 
 # Time limit for a rejected connection. Clients expect a response or a close within 3 s.
 REJECTED_TIMEOUT = timedelta(seconds=2.2)
@@ -48,7 +48,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection, and abort it if it is still open after REJECTED_TIMEOUT."""
         assert isinstance(transport, asyncio.Transport)
-        limit_receive_size(transport)
+        set_receive_size(transport)
         self._transport = transport
         loop = asyncio.get_running_loop()
         self._timeout = loop.call_later(to_seconds(REJECTED_TIMEOUT), transport.abort)
--- a/llm_router/transport/upstream_connection.py
+++ b/llm_router/transport/upstream_connection.py
@@ -17,7 +17,7 @@
 from llm_router.transport.acknowledgement import reset_if_unacknowledged
 from llm_router.transport.clock import to_seconds
 from llm_router.transport.errors import MalformedResponseError, StaleConnectionError
-from llm_router.transport.event_loop import limit_receive_size
+from llm_router.transport.event_loop import set_receive_size
 
 MAX_HEAD_SIZE = 64 * 1024  # maximum bytes of a response head and all interim responses before it
 # Maximum time from the first byte of a response head to its end. Endpoints write a head in one piece.
@@ -57,7 +57,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the connection."""
-        limit_receive_size(transport)
+        set_receive_size(transport)
         super().connection_made(transport)
 
     def set_response_params(self, **params: Any) -> None:  # noqa: ANN401  # the base class takes any type
--- a/tests/frontends/test_departed_clients.py
+++ b/tests/frontends/test_departed_clients.py
@@ -10,6 +10,7 @@
 from stand_ins import (
     StandInServer,
     chat_request,
+    chunk,
     decode,
     hang,
     message,
@@ -28,9 +29,20 @@
 GRACE = 0.1  # seconds after the close of a client in which an attempt for it may still begin
 OBSERVED = 1.5  # seconds for which late attempts are awaited
 RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"  # value of SO_LINGER
+UPGRADE = b"GET /health/ready HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
 OVERLOADED = message("HTTP/1.1 503 Service Unavailable", X_Unprocessed=1)
+CHUNKED_HEAD = chat_request(id="chunked").replace(
+    b'Content-Length: 15\r\n\r\n{"stream":true}', b"Transfer-Encoding: chunked\r\n\r\n"
+)
 BEHIND = {
+    "nothing": b"",
+    "one large request": chat_request(id="behind", body=LARGE_BODY),
+    "three large requests": b"".join(chat_request(id=f"behind{n}", body=LARGE_BODY) for n in range(3)),
     "16 large requests": b"".join(chat_request(id=f"behind{n}", body=LARGE_BODY) for n in range(16)),
+    "small chunks without an end": CHUNKED_HEAD + chunk(b"x" * 20) * 40_000,
+    "thousands of requests": b"".join(chat_request(id=f"behind{n}") for n in range(4000)),
+    "a bad request and much behind it": b"noise\r\n\r\n" + LARGE_BODY * 8,
+    "an upgrade and much behind it": UPGRADE + LARGE_BODY * 8,
 }
 
 
@@ -115,16 +127,29 @@
     run(test())
 
 
+CHUNKED_BODY = chunk(b'{"a":"' + b"x" * 60_000) + chunk(b"y" * 60_000) + chunk(b'"}') + b"0\r\n\r\n"
+MANY = {
+    "large requests": [chat_request(id=f"behind{n}", body=LARGE_BODY) for n in range(16)],
+    "chunked requests": [
+        CHUNKED_HEAD.replace(b"chunked\r\nX-S", b"c%d\r\nX-S" % n) + CHUNKED_BODY for n in range(16)
+    ],
+    "small requests": [chat_request(id=f"behind{n}") for n in range(3000)],
+    "health checks": [b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"] * 12_000,
+}
+
+
 # Guards against requests behind another that get no answer because their bytes were not kept.
-def test_each_request_of_a_client_that_sends_more_than_is_kept_is_answered_in_its_turn(tmp_path):
+@pytest.mark.parametrize("name", MANY)
+def test_each_request_behind_another_is_answered_in_its_turn_even_if_it_is_not_kept(tmp_path, name):
     async def test():
         async with router_with_endpoints(tmp_path, prefill=slow_prefill) as program:
             reader, writer = await program.connect()
-            writer.write(chat_request(id="first") + BEHIND["16 large requests"])
-            statuses = [(await within(read_message(reader))).status for _ in range(17)]
+            writer.write(chat_request(id="first") + b"".join(MANY[name]))
+            answers = [await within(read_message(reader)) for _ in range(1 + len(MANY[name]))]
             writer.write(chat_request(id="after"))
-            statuses.append((await within(read_message(reader))).status)
+            answers.append(await within(read_message(reader)))
             writer.close()
+            statuses = [answer.status for answer in answers]
             assert statuses[0] == statuses[-1] == 200 and set(statuses) <= {200, 503}
             assert not await program.stop_and_read_internal_errors()
 
--- a/tests/transport/test_pool.py
+++ b/tests/transport/test_pool.py
@@ -28,7 +28,12 @@
 def proxied_request(answered):
     """Return a stand-in for a proxied request; its rejection or failure sets the event `answered`."""
     upstream_request = UpstreamRequest("POST", "/v1/chat/completions", {}, b"{}")
+
+    async def no_input():
+        """Return at once, because no client sends more."""
+
     return SimpleNamespace(
+        wait_for_client_input=no_input,
         upstream_request=lambda _: upstream_request,
         reject=lambda _: answered.set(),
         fail=lambda _: answered.set(),
