Share the event loop among connections that discard input

Connections that discard input now wait in one line: 16 get a turn in an iteration, 64 KiB each, and their transports are paused until then. Bytes of bodies are no longer searched for line ends. A request whose client sends more behind it for a second without a pause is rejected.

--- a/llm_router/frontends/kserve/frontend.py
+++ b/llm_router/frontends/kserve/frontend.py
@@ -130,8 +130,8 @@
             return error_response(400, str(error), close=True)
         if self.server.arrived_too_late(request):
             return overloaded_response(close=not self.server.has_input_behind(request))
-        await self.server.detect_disconnect(request)
-        if len(runtime.proxied_requests) >= self.config.max_open_requests:
+        all_input_is_read = await self.server.detect_disconnect(request)
+        if not all_input_is_read or len(runtime.proxied_requests) >= self.config.max_open_requests:
             return overloaded_response(close=not self.server.has_input_behind(request))
         received = subtract_queueing_delay(received, self.server.queueing_delay(request))
         return await run_request(runtime, KServeRequest(request, received, body))
--- a/llm_router/frontends/platform/frontend.py
+++ b/llm_router/frontends/platform/frontend.py
@@ -57,11 +57,11 @@
             return plain_text_error(400, body_problem, close=True)
         if self.server.arrived_too_late(request):
             return _overloaded(close=not self.server.has_input_behind(request))
-        await self.server.detect_disconnect(request)
+        all_input_is_read = await self.server.detect_disconnect(request)
         if received.request_id in self.runtime.proxied_requests:
             log.emit_rate_limited("request_id_conflict", request=received.request_id, earlier="open")
             return plain_text_error(409, "a request with this id is running or may have run")
-        if len(self.runtime.proxied_requests) >= self.config.max_open_requests:
+        if not all_input_is_read or len(self.runtime.proxied_requests) >= self.config.max_open_requests:
             return _overloaded(close=not self.server.has_input_behind(request))
         received = subtract_queueing_delay(received, self.server.queueing_delay(request))
         proxied_request = PlatformRequest(request, received, body, lambda: self.server.closes_after(request))
--- a/llm_router/transport/discarding_request_handler.py
+++ b/llm_router/transport/discarding_request_handler.py
@@ -17,10 +17,8 @@
 from llm_router.transport.limited_request_handler import LimitedRequestHandler
 from llm_router.transport.waiting_requests import last_is_rejected, reject_last
 
-# Bytes of buffered input that one connection discards in one turn of the event loop.
-DISCARD_SIZE = 64 * 1024
-# Maximum bytes that one call receives while a body is discarded, which are not kept.
-DISCARD_RECEIVE_SIZE = 64 * 1024
+# Bytes of input that one connection receives or discards in one turn.
+TURN_SIZE = 64 * 1024
 # Maximum number of rejected requests that wait for their answer on one connection.
 MAX_REJECTED_REQUESTS = 4096
 # Number of input polls from the last bytes of a client that has left to the end of its attempts.
@@ -33,30 +31,35 @@
 class DiscardingRequestHandler(LimitedRequestHandler):
     """A server protocol that reads on when too much input is buffered.
 
-    It then parses the buffered input ahead of its turn. Each request in it is rejected in its turn."""
+    It then parses the buffered input ahead of its turn. Each request in it is rejected in its turn. While a
+    connection discards input it receives more only in turns, which it shares with other such connections."""
 
-    __slots__ = ("_discards_body", "_is_discarding", "_is_draining", "_last_receive_poll")
+    __slots__ = ("_discards_body", "_is_discarding", "_is_draining", "_last_receive_poll", "_waits_for_turn")
 
     def __init__(self, *arguments: Any, **settings: Any) -> None:  # noqa: ANN401  # the base class takes any type
         super().__init__(*arguments, **settings)
         self._is_discarding = False  # Whether buffered input is being discarded.
         self._discards_body = False  # Whether the body that is being received belongs to a rejected request.
         self._is_draining = False  # Whether received bytes of a body are being dropped.
+        self._waits_for_turn = False  # Whether the transport is paused until the connection gets a turn.
         self._last_receive_poll = 0  # number of the input poll that reported the latest bytes
 
-    async def wait_for_pending_input(self) -> None:
-        """Wait until the input that the client has sent is read, but for at most PENDING_INPUT_TIMEOUT.
+    async def wait_for_pending_input(self) -> bool:
+        """Wait until the input that the client has sent is read; return False after PENDING_INPUT_TIMEOUT.
 
         If the client has left, its requests have ended by then."""
         end = self._loop.time() + to_seconds(PENDING_INPUT_TIMEOUT)
-        while self._may_have_pending_input and self._loop.time() < end:
+        while self._may_have_pending_input:
+            if self._loop.time() > end:
+                return False
             await asyncio.sleep(0)
+        return True
 
     @property
     def _may_have_pending_input(self) -> bool:
-        """Whether one of the latest input polls has reported bytes of the client."""
+        """Whether one of the latest input polls has reported bytes of the client, or has left them out."""
         polls = select_count(self._loop)
-        return polls > 0 and polls - self._last_receive_poll < DISCONNECT_POLLS
+        return self._waits_for_turn or (polls > 0 and polls - self._last_receive_poll < DISCONNECT_POLLS)
 
     def data_received(self, data: bytes) -> None:
         """Process bytes that the event loop has received, or continue with those that the parser has kept."""
@@ -74,23 +77,41 @@
     def _limits_heads_to_memory(self) -> bool:
         return not self._is_discarding
 
+    def _limit_input(self) -> None:
+        """Let the transport receive more, or let it wait for a turn while input is discarded."""
+        super()._limit_input()
+        if self.accepts_input and (self._is_discarding or self._discards_body):
+            self._wait_for_turn()
+
     def _make_room(self) -> None:
         """Discard the buffered input, or pause the transport if the turn of the buffered request has come."""
-        if self._is_discarding:
-            return
-        self._discard_buffered()
-        if not self._is_discarding and self.accepts_input and self._held_input().is_too_large():
+        self._is_discarding = self._may_discard()
+        if not self._is_discarding and self.accepts_input:
             super()._make_room()
 
-    def _discard_buffered(self) -> None:
-        """Discard a part of the buffered input, and the rest in the next turns of the event loop."""
-        self._is_discarding = True
+    def _wait_for_turn(self) -> None:
+        """Pause the transport until the connection gets a turn."""
+        if self._manager is None or self.transport is None:
+            return
+        self._waits_for_turn = True
+        self.transport.pause_reading()
+        self._manager.input_turns.add(self)
+
+    def take_input_turn(self) -> None:
+        """Discard a part of the buffered input; receive more once all of it is discarded."""
+        self._waits_for_turn = False
+        if self.transport is None or not self.accepts_input:
+            return
         discarded = 0
-        while self._may_discard() and discarded < DISCARD_SIZE:
+        self._is_discarding = True
+        while self._may_discard() and discarded < TURN_SIZE:
             discarded += self._discard_slice()
         self._is_discarding = self._may_discard()
         if self._is_discarding:
-            self._loop.call_soon(self._discard_buffered)
+            self._wait_for_turn()
+            return
+        self._last_receive_poll = select_count(self._loop)
+        super()._limit_input()
 
     def _may_discard(self) -> bool:
         """Reject the waiting requests that were parsed, and return whether more input can be discarded."""
@@ -122,7 +143,7 @@
                 self._reject_input(503, "too many requests wait on the connection")
                 return
             self._discards_body = True
-            self._set_receive_size(DISCARD_RECEIVE_SIZE)
+            self._set_receive_size(TURN_SIZE)
             self._after_feed(self.last_arrival)
 
     def _after_feed(self, arrival: ArrivalTime) -> None:
@@ -158,3 +179,9 @@
         """Set the maximum number of bytes that one call receives."""
         if self.transport is not None:
             set_receive_size(self.transport, size)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Give up the connection's place among those that wait for a turn."""
+        if self._manager is not None:
+            self._manager.input_turns.remove(self)
+        super().connection_lost(exc)
--- a/llm_router/transport/frontend_server.py
+++ b/llm_router/transport/frontend_server.py
@@ -130,13 +130,14 @@
         return max(timedelta(), elapsed_since(HttpServer.request_arrival(request).earliest))
 
     @staticmethod
-    async def detect_disconnect(request: web.BaseRequest) -> None:
+    async def detect_disconnect(request: web.BaseRequest) -> bool:
         """Let the event loop read a client disconnect that may follow a queued request.
 
         The loop reads the disconnect only after all input. If there is one, it cancels the handler here,
-        before any work is done for the request."""
-        if FrontendServer.queueing_delay(request) > DISCONNECT_CHECK_AFTER:
-            await client_connection(request).wait_for_pending_input()
+        before any work is done for the request. Return False if the client sends more without an end."""
+        if FrontendServer.queueing_delay(request) <= DISCONNECT_CHECK_AFTER:
+            return True
+        return await client_connection(request).wait_for_pending_input()
 
     @contextmanager
     def reserved_body(self, request: web.BaseRequest) -> Iterator[bool]:
--- a/llm_router/transport/http_server.py
+++ b/llm_router/transport/http_server.py
@@ -22,6 +22,7 @@
 from llm_router.transport.client_connection import ClientConnection
 from llm_router.transport.client_input import ArrivalTime
 from llm_router.transport.clock import to_seconds
+from llm_router.transport.input_turns import InputTurns
 from llm_router.transport.listener import Listener
 from llm_router.transport.memory_budget import MemoryBudget
 from llm_router.transport.rejected_connection import RejectedConnection, RejectedConnections
@@ -87,6 +88,7 @@
         self.max_connections = limits.max_connections
         self.max_body_size = limits.max_body_size
         self.input_memory = input_memory
+        self.input_turns = InputTurns(self._loop)
         self.draining = False
         self._answer_input_until = math.inf
         self.lingering: OrderedDict[ClientConnection, None] = OrderedDict()
--- a/llm_router/transport/limited_request_handler.py
+++ b/llm_router/transport/limited_request_handler.py
@@ -173,15 +173,18 @@
         if data:
             self.last_arrival = arrival
         super().data_received(data)
-        self._held_input().heads.add(data)
+        heads = self._held_input().heads
         if self._request_count > requests_before:
-            self._held_input().heads.complete()
+            heads.add(data)
+            heads.complete()
             self.partial_head_since = None
             self._start_request()
         elif self._body.total_bytes > body_before:
-            self._held_input().heads.drop_incomplete()
-        elif data and self.is_idle:
-            self.partial_head_since = self._loop.time()
+            heads.drop_incomplete()
+        else:
+            heads.add(data)
+            if data and self.is_idle:
+                self.partial_head_since = self._loop.time()
         self._check_heads()
 
     def _start_request(self) -> None:
