Keep connections that are in use, and answer those that are rejected, beside a crowd

A connection above the limit was aborted to make room for the next, also before its rejection was sent.

A connection gives its place up only after 0.3 s without a request, and if no input waits on it; otherwise the new connection is rejected. A rejected connection that has to go is closed after its 503, an answered one first.

--- a/llm_router/transport/client_connection.py
+++ b/llm_router/transport/client_connection.py
@@ -16,6 +16,7 @@
 from llm_router.transport.clock import to_seconds
 from llm_router.transport.discarding_request_handler import DiscardingRequestHandler
 from llm_router.transport.event_stream import StreamedResponse
+from llm_router.transport.pending_input import has_pending_input
 
 if TYPE_CHECKING:
     from llm_router.transport.http_server import HttpServer
@@ -83,6 +84,11 @@
             return False
         return not self.all_answered or (self.accepts_input and not self.is_idle)
 
+    @property
+    def has_unread_input(self) -> bool:
+        """Whether the client has sent bytes that the event loop has not read yet, or has left."""
+        return self.transport is not None and has_pending_input(self.transport)
+
     def on_input_rejected(self) -> None:
         """Record that an error response is pending, after which the connection closes."""
         self._enter(ConnectionState.INPUT_REJECTED)
--- a/llm_router/transport/http_server.py
+++ b/llm_router/transport/http_server.py
@@ -33,6 +33,8 @@
 KEEPALIVE_TIMEOUT = timedelta(seconds=2.2)
 # The first request head of a connection younger than this may still be in transit.
 NEW_CONNECTION_AGE = timedelta(seconds=0.3)
+# A connection that has been idle for less than this is in use, and is not closed for a new one.
+MIN_IDLE_TIME = timedelta(seconds=0.3)
 
 # Key under which a request stores the arrival of its last byte, or None if its body was not yet complete.
 ARRIVAL: web.RequestKey[ArrivalTime | None] = web.RequestKey(
@@ -133,13 +135,16 @@
         """Close a connection to make room for a new one; return False if none can be closed.
 
         Lingering connections go first, then those that sent no request, then the one idle for longest.
-        So a flood of new connections does not displace clients that send requests."""
+        So a flood of new connections does not displace clients that send requests. A connection is not closed
+        while it is in use, or while a request of its client waits to be read."""
         if self.lingering:
             oldest, _ = self.lingering.popitem(last=False)
             self._evict(oldest, "lingering")
             return True
         idle: list[ClientConnection] = []
-        opened_before = self._loop.time() - to_seconds(NEW_CONNECTION_AGE)
+        now = self._loop.time()
+        opened_before = now - to_seconds(NEW_CONNECTION_AGE)
+        idle_before = now - to_seconds(MIN_IDLE_TIME)
         for connection in self._clients():  # The oldest come first, so the search ends early in a flood.
             if connection.transport is None:
                 # The connection is closed, but stays in the table until the next loop iteration.
@@ -148,12 +153,14 @@
             if connection.is_idle and not connection.has_served and is_old:
                 self._evict(connection, "silent")
                 return True
-            if connection.all_answered and (connection.has_served or is_old):
+            in_use = connection.idle_since >= idle_before
+            if connection.all_answered and not in_use and (connection.has_served or is_old):
                 idle.append(connection)
-        if not idle:
-            return False
-        self._evict(min(idle, key=self._eviction_order), "idle")
-        return True
+        for connection in sorted(idle, key=self._eviction_order):
+            if not connection.has_unread_input:
+                self._evict(connection, "idle")
+                return True
+        return False
 
     def _evict(self, connection: ClientConnection, reason: str) -> None:
         """Close a connection to make room for a new one, and log the reason."""
--- a/llm_router/transport/rejected_connection.py
+++ b/llm_router/transport/rejected_connection.py
@@ -17,18 +17,19 @@
 
 
 class RejectedConnections:
-    """The set of open rejected connections; the oldest is aborted if there are more than `max_count`."""
+    """The set of open rejected connections; one of them is closed if there are more than `max_count`."""
 
     def __init__(self, max_count: int) -> None:
         self._max_count = max_count
-        self._open: OrderedDict[RejectedConnection, asyncio.Transport] = OrderedDict()
+        self._open: OrderedDict[RejectedConnection, None] = OrderedDict()
 
-    def add(self, connection: RejectedConnection, transport: asyncio.Transport) -> None:
-        """Add a connection, and abort the oldest one if there are too many."""
-        self._open[connection] = transport
+    def add(self, connection: RejectedConnection) -> None:
+        """Add a connection; if there are too many, close the oldest answered one, or else the oldest."""
+        self._open[connection] = None
         if len(self._open) > self._max_count:
-            _, oldest = self._open.popitem(last=False)
-            oldest.abort()
+            surplus = next((each for each in self._open if each.is_answered), next(iter(self._open)))
+            del self._open[surplus]
+            surplus.close()
 
     def remove(self, connection: RejectedConnection) -> None:
         """Remove a connection that was closed."""
@@ -43,7 +44,7 @@
 
     def __init__(self, connections: RejectedConnections) -> None:
         self._connections = connections
-        self._answered = False
+        self.is_answered = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection, and abort it if it is still open after REJECTED_TIMEOUT."""
@@ -52,14 +53,22 @@
         self._transport = transport
         loop = asyncio.get_running_loop()
         self._timeout = loop.call_later(to_seconds(REJECTED_TIMEOUT), transport.abort)
-        self._connections.add(self, transport)
+        self._connections.add(self)
 
     def data_received(self, _data: bytes) -> None:
         """Send the rejection on the first input, and drop all later input."""
-        if self._answered:
-            return
-        self._answered = True
-        self._transport.write(RESPONSE)
+        self._answer()
+
+    def close(self) -> None:
+        """Close the connection after the rejection, which answers a request that has not been read yet."""
+        self._answer()
+        self._transport.close()
+
+    def _answer(self) -> None:
+        """Send the rejection once."""
+        if not self.is_answered:
+            self.is_answered = True
+            self._transport.write(RESPONSE)
 
     def connection_lost(self, _exc: Exception | None) -> None:
         """Cancel the timeout and unregister the connection."""
--- a/llm_router/transport/upstream_connector.py
+++ b/llm_router/transport/upstream_connector.py
@@ -8,7 +8,6 @@
 import asyncio
 import errno
 import functools
-import select
 from datetime import timedelta
 from typing import Any, cast
 
@@ -22,6 +21,7 @@
 from llm_router.transport.clock import to_seconds
 from llm_router.transport.errors import LocalConnectError
 from llm_router.transport.idle_connection_policy import IdleConnectionPolicy
+from llm_router.transport.pending_input import has_pending_input
 from llm_router.transport.resilient_socket import LOCAL_ERRORS, LocalSocketError, SocketLimitError
 from llm_router.transport.socket_budget import may_use_release_sockets
 from llm_router.transport.upstream_connection import UpstreamConnection
@@ -130,19 +130,6 @@
         return dropped
 
 
-def has_pending_input(transport: asyncio.Transport | None) -> bool:
-    """Return whether an idle connection has input that the event loop has not read yet.
-
-    The input is unexpected bytes or the connection's end. In both cases a request that is written to the
-    connection may be lost. The result is also true for a connection that is already closed."""
-    connection = None if transport is None else transport.get_extra_info("socket")
-    if connection is None or connection.fileno() < 0:
-        return True
-    poller = select.poll()
-    poller.register(connection.fileno(), select.POLLIN)
-    return bool(poller.poll(0))
-
-
 def disable_retries(session: aiohttp.ClientSession) -> None:
     """Stop aiohttp from resending a GET or DELETE automatically after a stale connection breaks."""
     session._retry_connection = False
--- a/tests/frontends/test_departed_clients.py
+++ b/tests/frontends/test_departed_clients.py
@@ -196,6 +196,7 @@
             writer.write(chat_request(id="again", cls="booking"))
             await program.prefill_server.wait_for("POST /v1/chat")
             writer.transport.abort()
+            await within(program.prefill_server.closed.get())
             statuses = []
             while not statuses or statuses[-1] not in (200, 409):
                 statuses.append((await program.exchange(chat_request(id="again", cls="booking"))).status)
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -11,11 +11,17 @@
 from llm_router.transport.client_connection import ClientConnection
 from llm_router.transport.clock import to_seconds
 from llm_router.transport.counted_response import CountedResponse
-from llm_router.transport.http_server import NEW_CONNECTION_AGE, HttpServer, ServerLimits
+from llm_router.transport.http_server import MIN_IDLE_TIME, NEW_CONNECTION_AGE, HttpServer, ServerLimits
 from llm_router.transport.memory_budget import MemoryBudget, MemoryShare
 from llm_router.transport.rejected_connection import RejectedConnection
 from llm_router.transport.responses import plain_text_error
 
+GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+async def answer_ok(_request):
+    return web.Response()
+
 
 def limits(max_connections, max_rejected=1, size=5):
     """Return the limits of a server, and a memory budget of the same size as its bodies."""
@@ -281,3 +287,50 @@
         listener.close()
 
     asyncio.run(test())
+
+
+# Guards against a connection that is closed for a new one while its client's next request waits to be read.
+def test_a_connection_with_an_unread_request_is_not_closed_for_a_new_one():
+    async def test():
+        server = HttpServer(answer_ok, plain_text_error, *limits(1, size=1000))
+        listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+        writer.write(GET)
+        await reader.readuntil(b"\r\n\r\n")
+        for connection in server._clients():
+            connection.idle_since -= 2 * to_seconds(MIN_IDLE_TIME)
+        writer.write(GET)
+        assert not server.evict(), "the request was sent, and the event loop has not read it yet"
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+        assert not server.evict(), "the connection was in use a moment ago"
+        for connection in server._clients():
+            connection.idle_since -= 2 * to_seconds(MIN_IDLE_TIME)
+        assert server.evict() and not await reader.read()
+        writer.close()
+        listener.close()
+
+    asyncio.run(test())
+
+
+# Guards against a rejected connection that is reset before its client can read the rejection.
+def test_a_rejected_connection_above_the_limit_is_closed_after_its_rejection():
+    async def test():
+        server = HttpServer(answer_ok, plain_text_error, *limits(0, max_rejected=2, size=1000))
+        listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
+        clients = []
+        for _ in range(3):
+            clients.append(await asyncio.open_connection(*listener.sockets[0].getsockname()))
+            await asyncio.sleep(0.02)
+        first, _ = clients[0]
+        assert (await first.read()).startswith(b"HTTP/1.1 503"), "the oldest gives way, and gets an answer"
+        clients[2][1].write(GET)
+        assert (await clients[2][0].readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 503")
+        clients.append(await asyncio.open_connection(*listener.sockets[0].getsockname()))
+        assert not await clients[2][0].read(), "an answered connection gives way before an unanswered one"
+        clients[1][1].write(GET)
+        assert (await clients[1][0].readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 503")
+        for _, writer in clients:
+            writer.close()
+        listener.close()
+
+    asyncio.run(test())
