Make no release call without a socket, and replace none at other endpoints

While a crowd used up the sockets for endpoints, each release failed at once, was tried at eight more endpoints in each round, and counted as an endpoint that did not answer; each try searched all sockets for closed ones.

ReleaseClient reports a call that got no socket as failed locally: the next round makes it again, and it says nothing about its endpoint. The budget learns of each close from the socket itself.

The test in test_lease_releases.py needs the new field and so fails before.

--- a/llm_router/lifecycle/events.py
+++ b/llm_router/lifecycle/events.py
@@ -104,12 +104,15 @@
 
 @dataclass(slots=True, frozen=True)
 class ReleaseCallEnded:
-    """A release call has ended; `acknowledged` is true if the endpoint acknowledged it."""
+    """A release call has ended; `acknowledged` is true if the endpoint acknowledged it.
+
+    `failed_locally` is true if it was not made, because the router had no socket for it."""
 
     request_id: str
     accepted_at: timedelta
     call_number: int
     acknowledged: bool
+    failed_locally: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/llm_router/lifecycle/releases.py
+++ b/llm_router/lifecycle/releases.py
@@ -101,7 +101,7 @@
     if calls is None or call is None:
         return
     number = state.numbers.get(call.endpoint.name)
-    if number is not None and number in state.endpoints:
+    if number is not None and number in state.endpoints and not event.failed_locally:
         state.endpoint_table.record_contact(number, now, answered=event.acknowledged)
     request.history.record(
         now, "acknowledged" if event.acknowledged else "not acknowledged", call.endpoint.name
@@ -109,7 +109,7 @@
     if event.acknowledged:
         request.lease.release_acknowledged(call.started_at)
         yield from cancel_release_calls(request)
-    elif request.may_release(now):
+    elif request.may_release(now) and not event.failed_locally:
         yield from _release_effects(
             now, request, calls.start_replacement_call(now, request.release_call_count)
         )
--- a/llm_router/transport/release_client.py
+++ b/llm_router/transport/release_client.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from enum import Enum, auto
 
 from llm_router import log
 from llm_router.lifecycle import effects, events
@@ -19,6 +20,17 @@
 RELEASE_ACKNOWLEDGED = 204  # HTTP status with which an endpoint acknowledges a release
 
 
+class ReleaseResult(Enum):
+    """How a release call ended."""
+
+    ACKNOWLEDGED = auto()
+    NOT_ACKNOWLEDGED = auto()
+    NO_SOCKET = auto()  # It was not made, because all sockets were in use.
+
+
+ReleaseTask = asyncio.Task[ReleaseResult]
+
+
 class ReleaseClient:
     """Makes release calls, and reports the end of each to the lifecycle as an event."""
 
@@ -34,7 +46,7 @@
         self._path = path
         self._tasks = tasks
         self._feed = feed
-        self.running: dict[str, set[asyncio.Task[bool]]] = {}  # release calls by request id
+        self.running: dict[str, set[ReleaseTask]] = {}  # release calls by request id
         # Events by request id. An acknowledged release call of the request sets its event.
         self._awaited: dict[str, asyncio.Event] = {}
 
@@ -44,7 +56,7 @@
         self.running.setdefault(effect.request_id, set()).add(task)
         task.add_done_callback(lambda task: self._on_done(effect, task))
 
-    def _on_done(self, effect: effects.Release, task: asyncio.Task[bool]) -> None:
+    def _on_done(self, effect: effects.Release, task: ReleaseTask) -> None:
         """Report to the lifecycle how a release call ended, unless the call was cancelled."""
         running = self.running.get(effect.request_id, set())
         running.discard(task)
@@ -52,20 +64,27 @@
             self.running.pop(effect.request_id, None)
         if task.cancelled():
             return
-        acknowledged = task.exception() is None and task.result()
+        acknowledged = task.exception() is None and task.result() is ReleaseResult.ACKNOWLEDGED
         if acknowledged and effect.request_id in self._awaited:
             self._awaited[effect.request_id].set()
+        failed_locally = task.exception() is None and task.result() is ReleaseResult.NO_SOCKET
         self._feed(
-            events.ReleaseCallEnded(effect.request_id, effect.accepted_at, effect.call_number, acknowledged)
+            events.ReleaseCallEnded(
+                effect.request_id, effect.accepted_at, effect.call_number, acknowledged, failed_locally
+            )
         )
 
-    async def _call(self, effect: effects.Release) -> bool:
-        """Make a release call; return whether the endpoint acknowledged it."""
+    async def _call(self, effect: effects.Release) -> ReleaseResult:
+        """Make a release call and return its result."""
         path = self._path(effect.request_id)
         if path is None:
-            return True
+            return ReleaseResult.ACKNOWLEDGED
+        if not self._pool.has_socket_for_release:
+            return ReleaseResult.NO_SOCKET
         call = UpstreamCall("DELETE", effect.endpoint.address, path, for_release=True)
-        return await self._pool.call(call, RELEASE_TIMEOUT) == RELEASE_ACKNOWLEDGED
+        if await self._pool.call(call, RELEASE_TIMEOUT) == RELEASE_ACKNOWLEDGED:
+            return ReleaseResult.ACKNOWLEDGED
+        return ReleaseResult.NOT_ACKNOWLEDGED
 
     def cancel(self, effect: effects.CancelReleases) -> None:
         """Cancel the release calls of a request."""
--- a/llm_router/transport/resilient_socket.py
+++ b/llm_router/transport/resilient_socket.py
@@ -4,6 +4,7 @@
 
 import errno
 import socket
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
@@ -47,7 +48,17 @@
     """A stream socket that tolerates temporary local errors.
 
     If memory runs out, `send` and `recv` report that they would block, and asyncio retries them. If `connect`
-    cannot begin, it raises LocalSocketError instead of an error that means "connect in progress"."""
+    cannot begin, it raises LocalSocketError instead of an error that means "connect in progress".
+    `on_close` is called with the socket when it is closed, as closed sockets stay in memory for a while."""
+
+    on_close: Callable[[ResilientSocket], object] | None = None
+
+    def close(self) -> None:
+        """Close the socket, and report this once."""
+        super().close()
+        if self.on_close is not None and self.fileno() < 0:
+            self.on_close(self)
+            self.on_close = None
 
     def connect(self, address: tuple[Any, ...] | str | Buffer) -> None:
         """Begin to connect.
--- a/llm_router/transport/socket_budget.py
+++ b/llm_router/transport/socket_budget.py
@@ -26,20 +26,23 @@
         self.release_sockets = release_sockets
         # The function that closes idle connections and returns their number.
         self._drop_idle = drop_idle
-        self._open: WeakSet[socket.socket] = WeakSet()
+        self._open: WeakSet[ResilientSocket] = WeakSet()
+
+    @property
+    def has_room(self) -> bool:
+        """Whether a release call may open a socket without closing an idle connection."""
+        return len(self._open) < self.max_sockets
 
     def open(self, info: AddrInfoType) -> socket.socket:
         """Return a new socket; raise SocketLimitError if the limit is reached and no connection is idle."""
         limit = self.max_sockets
         if not may_use_release_sockets.get():
             limit -= self.release_sockets
-        if len(self._open) >= limit:
-            # Closed sockets stay in memory until a garbage collection, and must not count as open.
-            self._open = WeakSet(each for each in self._open if each.fileno() >= 0)
         # A dropped connection closes with a delay, so the limit may be exceeded for a moment.
         if len(self._open) >= limit and not self._drop_idle():
             raise SocketLimitError(errno.EMFILE, "socket limit reached and no idle connection to close")
         opened = ResilientSocket(*info[:3])
+        opened.on_close = self._open.discard
         self._open.add(opened)
         with suppress(OSError):
             opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/llm_router/transport/upstream_connector.py
+++ b/llm_router/transport/upstream_connector.py
@@ -116,6 +116,11 @@
             raise failure
         raise LocalConnectError(error.errno, str(error)) from error
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether any connection is idle."""
+        return any(self._conns.values())
+
     def drop_idle(self, address: str | None = None) -> int:
         """Close the idle connections to one endpoint or to all; return their number."""
         dropped = 0
--- a/tests/lifecycle/test_lease_releases.py
+++ b/tests/lifecycle/test_lease_releases.py
@@ -121,6 +121,17 @@
     assert {each.endpoint.name for each in lifecycle.next_release()}.isdisjoint(called)
 
 
+# Guards against calls to all endpoints in a row, and against blame on them, while the router has no socket.
+def test_a_release_call_that_got_no_socket_is_not_replaced_and_tells_nothing_of_its_endpoint(lifecycle):
+    time_of_abandoned_lease(lifecycle)
+    (call,) = lifecycle.effects_of(effects.Release) or lifecycle.next_release()
+    contacts = dict(lifecycle.state.endpoint_table.last_contacts)
+    lifecycle.end_release_call(call, acknowledged=False, failed_locally=True)
+    assert not lifecycle.effects_of(effects.Release)
+    assert lifecycle.state.endpoint_table.last_contacts == contacts
+    assert lifecycle.next_release(), "the next round calls again"
+
+
 def time_of_abandoned_lease(lifecycle):
     """Submit a request whose client disconnects after the prefill, and return the time of that."""
     lifecycle.submit()
--- a/tests/support/reducer_harness.py
+++ b/tests/support/reducer_harness.py
@@ -93,10 +93,10 @@
             calls = self.effects_of(effects.Release) or self.next_release()
         return acknowledged
 
-    def end_release_call(self, call, acknowledged):
+    def end_release_call(self, call, acknowledged, **details):
         """Advance the clock by a millisecond, and end a release call."""
-        ended = events.ReleaseCallEnded(call.request_id, call.accepted_at, call.call_number, acknowledged)
-        self.feed(ended, MILLISECOND)
+        key = call.request_id, call.accepted_at, call.call_number
+        self.feed(events.ReleaseCallEnded(*key, acknowledged, **details), MILLISECOND)
 
     def effects_of(self, kind):
         return [each for each in self.effects if isinstance(each, kind)]
--- a/tests/transport/test_release_client.py
+++ b/tests/transport/test_release_client.py
@@ -54,6 +54,12 @@
             client = ReleaseClient(pool, reservation_path, BackgroundTasks(), fed.put_nowait)
             client.start(effects.Release("q", ACCEPTED_AT, 0, endpoint_named(deployment.runtime, "w1")))
             assert await within(fed.get()) == ReleaseCallEnded("q", ACCEPTED_AT, 0, acknowledged=True)
+            pool.connector.drop_idle()
+            pool.socket_budget.max_sockets = len(busy.open)
+            client.start(effects.Release("q", ACCEPTED_AT, 1, endpoint_named(deployment.runtime, "w1")))
+            assert await within(fed.get()) == ReleaseCallEnded(
+                "q", ACCEPTED_AT, 1, acknowledged=False, failed_locally=True
+            ), "no socket is free"
             for task in tasks:
                 task.cancel()
             await asyncio.wait(tasks)
