Keep a connection open after a request that was rejected for want of memory

Its body is now dropped as it comes, within the turns of connections that discard input, and the connection stays usable.

test_a_client_connection_over_the_limit_replaces_an_idle_one_or_is_rejected took a connection for idle that had been used milliseconds before.

--- a/llm_router/frontends/kserve/frontend.py
+++ b/llm_router/frontends/kserve/frontend.py
@@ -114,7 +114,7 @@
         """Run an inference, or reject it if its body exceeds the free memory for request bodies."""
         with self.server.reserved_body(request) as is_reserved:
             if not is_reserved:
-                return overloaded_response(close=True)
+                return overloaded_response(close=not await self.server.discard_body(request))
             return await self._infer(runtime, request)
 
     async def _infer(self, runtime: Runtime, request: web.BaseRequest) -> web.StreamResponse:
--- a/llm_router/frontends/platform/frontend.py
+++ b/llm_router/frontends/platform/frontend.py
@@ -45,7 +45,7 @@
             return plain_text_error(400, str(error), close=True)
         with self.server.reserved_body(request) as is_reserved:
             if not is_reserved:
-                return _overloaded(close=True)
+                return _overloaded(close=not await self.server.discard_body(request))
             return await self._chat(request, received)
 
     async def _chat(self, request: web.BaseRequest, received: RequestReceived) -> web.StreamResponse:
--- a/llm_router/transport/discarding_request_handler.py
+++ b/llm_router/transport/discarding_request_handler.py
@@ -146,6 +146,15 @@
             self._set_receive_size(TURN_SIZE)
             self._after_feed(self.last_arrival)
 
+    def discard_body(self) -> None:
+        """Discard the body that is being received, because its request is rejected."""
+        if self._body.is_eof() or not self.accepts_input:
+            return
+        self._discards_body = True
+        self._set_receive_size(TURN_SIZE)
+        self._after_feed(self.last_arrival)
+        self._limit_input()
+
     def _after_feed(self, arrival: ArrivalTime) -> None:
         """Drop the received part of a rejected request's body, and let the parser continue behind it."""
         while self._discards_body and self.accepts_input:
--- a/llm_router/transport/frontend_server.py
+++ b/llm_router/transport/frontend_server.py
@@ -176,6 +176,23 @@
         except TimeoutError:
             return plain_text_error(408, "the request body was not received in time", close=True)
 
+    async def discard_body(self, request: web.BaseRequest) -> bool:
+        """Discard the body of a rejected request; return whether its connection can stay open.
+
+        It stays open if the body has a declared length within the limit and is received in time. Requests
+        that were received behind it then get their answers."""
+        size = request.content_length
+        if size is None or size > MAX_BODY_BYTES:
+            return not request.can_read_body
+        client_connection(request).discard_body()
+        deadline = self.http_server.request_awaited_since(request) + to_seconds(BODY_TIMEOUT)
+        try:
+            async with asyncio.timeout_at(deadline):
+                await request.content.wait_eof()
+        except TimeoutError:
+            return False
+        return True
+
     async def shut_down(self) -> None:
         """Stop accepting clients, finish their open requests, and close the connections."""
         if self.acceptor is None:
--- a/tests/frontends/test_crowded_connections.py
+++ b/tests/frontends/test_crowded_connections.py
@@ -4,8 +4,8 @@
 import itertools
 import time
 
-from floods import FLOODS, flood
-from stand_ins import chat_request, read_message, router_with_endpoints, run, within
+from floods import FLOODS, LARGE_BODY, flood
+from stand_ins import chat_request, prefill, read_message, router_with_endpoints, run, within
 
 LIMITS = {"memory_mb": 192, "sockets": 256}  # 85 client connections
 CROWD = 110
@@ -48,3 +48,37 @@
             assert not await program.stop_and_read_internal_errors()
 
     run(test())
+
+
+HEALTH_CHECK = b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"
+SMALL_LIMITS = {"memory_mb": 64, "sockets": 1024}
+HELD_REQUESTS = 24  # Their bodies use up the memory for bodies.
+
+
+# Guards against requests that get no answer because the one before them was rejected for its size.
+def test_a_request_behind_a_rejected_large_one_is_answered(tmp_path):
+    held = asyncio.Event()
+
+    async def hold(call, writer):
+        await held.wait()
+        await prefill(call, writer)
+
+    async def test():
+        async with router_with_endpoints(tmp_path, prefill=hold, limits=SMALL_LIMITS) as program:
+            large = [
+                program.exchange(chat_request(id=f"h{n}", body=LARGE_BODY)) for n in range(HELD_REQUESTS)
+            ]
+            holding = asyncio.gather(*large)
+            await program.prefill_server.wait_for("POST /v1/chat")
+            await asyncio.sleep(0.3)
+            reader, writer = await program.connect()
+            writer.write(chat_request(id="large", body=LARGE_BODY) + HEALTH_CHECK)
+            rejected = await within(read_message(reader))
+            held.set()
+            answers = [rejected, await within(read_message(reader))]
+            writer.close()
+            await holding
+            assert [answer and answer.status for answer in answers] == [503, 200]
+            assert not await program.stop_and_read_internal_errors()
+
+    run(test())
--- a/tests/frontends/test_platform_limits.py
+++ b/tests/frontends/test_platform_limits.py
@@ -14,6 +14,9 @@
     within,
 )
 
+from llm_router.transport.clock import to_seconds
+from llm_router.transport.http_server import MIN_IDLE_TIME
+
 
 def test_a_client_connection_over_the_limit_replaces_an_idle_one_or_is_rejected(tmp_path):
     async def test():
@@ -22,6 +25,7 @@
             idle_writer.write(message("GET /health/ready HTTP/1.1", Host="h"))
             assert (await within(read_message(idle)))[0].split()[1] == "200"
             active = []
+            await asyncio.sleep(1.1 * to_seconds(MIN_IDLE_TIME))
             for number in range(21):  # The last connection replaces the idle one.
                 reader, writer = await program.connect()
                 head = chat_request(id=f"r{number}").partition(b"\r\n\r\n")[0]
