See the close of a client behind input that follows a request for an upgrade

The parser stops for good behind a request that asks for an upgrade, so its input was neither parsed nor discarded: with 2 MB behind it the transport paused, and attempts began up to 0.27 s after the close. Such input is now dropped, and an error is queued for it.

--- a/llm_router/transport/discarding_request_handler.py
+++ b/llm_router/transport/discarding_request_handler.py
@@ -85,6 +85,9 @@
 
     def _make_room(self) -> None:
         """Discard the buffered input, or pause the transport if the turn of the buffered request has come."""
+        if self._upgraded:
+            self._reject_input(503, "too much input behind a request for an upgrade")
+            return
         self._is_discarding = self._may_discard()
         if not self._is_discarding and self.accepts_input:
             super()._make_room()
--- a/tests/frontends/test_departed_clients.py
+++ b/tests/frontends/test_departed_clients.py
@@ -29,7 +29,8 @@
 GRACE = 0.1  # seconds after the close of a client in which an attempt for it may still begin
 OBSERVED = 1.5  # seconds for which late attempts are awaited
 RESET_ON_CLOSE = b"\1\0\0\0\0\0\0\0"  # value of SO_LINGER
-UPGRADE = b"GET /health/ready HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
+UPGRADE_FIELDS = b"\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
+UPGRADE = b"GET /health/ready HTTP/1.1\r\nHost: h" + UPGRADE_FIELDS
 OVERLOADED = message("HTTP/1.1 503 Service Unavailable", X_Unprocessed=1)
 CHUNKED_HEAD = chat_request(id="chunked").replace(
     b'Content-Length: 15\r\n\r\n{"stream":true}', b"Transfer-Encoding: chunked\r\n\r\n"
@@ -85,12 +86,12 @@
     return data
 
 
-async def send_and_leave(address, request_id, behind, reset):
-    """Send a request and more behind it, leave after STAY seconds, and return the time of the close."""
+async def send_and_leave(address, sent, reset):
+    """Send a request with more behind it, leave after STAY seconds, and return the time of the close."""
     host, port = address.split(":")
     client = socket.create_connection((host, int(port)))
     client.setblocking(False)
-    rest = chat_request(id=request_id, cls="booking", time_remaining_ms=9000) + behind
+    rest = sent
     end = time.monotonic() + STAY
     while time.monotonic() < end:
         rest = send_some(client, rest)
@@ -109,9 +110,9 @@
     async def test():
         async with router_with_rejecting_endpoints(tmp_path) as (router, endpoints):
             names = [f"left{n}" for n in range(CLIENTS)]
-            closes = await asyncio.gather(
-                *(send_and_leave(router.address, name, BEHIND[behind], reset) for name in names)
-            )
+            requests = [chat_request(id=name, cls="booking", time_remaining_ms=9000) for name in names]
+            sent = [send_and_leave(router.address, each + BEHIND[behind], reset) for each in requests]
+            closes = await asyncio.gather(*sent)
             await asyncio.sleep(OBSERVED)
             attempts = [attempt for each in endpoints for attempt in each.attempts]
             closed_at = dict(zip(names, closes, strict=True))
@@ -138,6 +139,21 @@
 }
 
 
+# Guards against a close that is not seen behind input that is not parsed after a request for an upgrade.
+def test_no_attempt_begins_after_a_client_left_with_much_behind_a_request_for_an_upgrade(tmp_path):
+    async def test():
+        async with router_with_rejecting_endpoints(tmp_path) as (router, endpoints):
+            requests = [chat_request(id=f"up{n}", cls="booking", time_remaining_ms=9000) for n in range(4)]
+            upgrades = [each.replace(b"\r\n\r\n", UPGRADE_FIELDS) for each in requests]
+            sent = [send_and_leave(router.address, each + LARGE_BODY * 8, reset=False) for each in upgrades]
+            last_close = max(await asyncio.gather(*sent))
+            await asyncio.sleep(OBSERVED)
+            starts = [start for each in endpoints for _, start in each.attempts]
+            assert starts and max(starts) < last_close + GRACE
+
+    run(test())
+
+
 # Guards against requests behind another that get no answer because their bytes were not kept.
 @pytest.mark.parametrize("name", MANY)
 def test_each_request_behind_another_is_answered_in_its_turn_even_if_it_is_not_kept(tmp_path, name):
