--- a/llm_router/lifecycle/idempotency_registry.py
+++ b/llm_router/lifecycle/idempotency_registry.py
@@ -30,15 +30,15 @@
     @property
     def is_full(self) -> bool:
         """Whether the registry accepts no key; forgetting one early could let a request run twice."""
-        return not self.forgets_oldest and self._has_no_room
+        return not self.forgets_oldest and self._is_at_capacity
 
     @property
-    def _has_no_room(self) -> bool:
+    def _is_at_capacity(self) -> bool:
         return len(self.running) + len(self.completed) >= self.capacity
 
     def start(self, key: str) -> None:
         """Register the key of a request that starts to run."""
-        if self.completed and self._has_no_room:
+        if self.completed and self._is_at_capacity:
             del self.completed[next(iter(self.completed))]
         self.running.add(key)
 
--- a/llm_router/routing/stream_timeout.py
+++ b/llm_router/routing/stream_timeout.py
@@ -15,8 +15,8 @@
     """The time until which one stream may wait for its endpoint; all times are in nanoseconds.
 
     Only bytes of an event extend this time. Comments and empty lines do not, because an endpoint that writes
-    nothing else has stopped. An endpoint may write one long event slowly, so each byte of an incomplete event
-    extends the time by what it may take at MIN_EVENT_RATE."""
+    nothing else has stopped. An endpoint may write one long event slowly. So each byte of an incomplete event
+    extends the time by the duration of one byte at MIN_EVENT_RATE."""
 
     def __init__(self, now: int) -> None:
         self._waiting_since = now
--- a/llm_router/transport/client_connection.py
+++ b/llm_router/transport/client_connection.py
@@ -85,7 +85,7 @@
         return not self.all_answered or (self.accepts_input and not self.is_idle)
 
     @property
-    def has_unread_input(self) -> bool:
+    def has_pending_input(self) -> bool:
         """Whether the client has sent bytes that the event loop has not read yet, or has left."""
         return self.transport is not None and has_pending_input(self.transport)
 
--- a/llm_router/transport/discarding_request_handler.py
+++ b/llm_router/transport/discarding_request_handler.py
@@ -83,14 +83,14 @@
         if self.accepts_input and (self._is_discarding or self._discards_body):
             self._wait_for_turn()
 
-    def _make_room(self) -> None:
+    def _handle_excess_input(self) -> None:
         """Discard the buffered input, or pause the transport if the turn of the buffered request has come."""
         if self._upgraded:
             self._reject_input(503, "too much input behind a request for an upgrade")
             return
         self._is_discarding = self._may_discard()
         if not self._is_discarding and self.accepts_input:
-            super()._make_room()
+            super()._handle_excess_input()
 
     def _wait_for_turn(self) -> None:
         """Pause the transport until the connection gets a turn."""
--- a/llm_router/transport/event_parser.py
+++ b/llm_router/transport/event_parser.py
@@ -40,7 +40,7 @@
 
     @property
     def is_ended(self) -> bool:
-        """Whether the last event was the one that ends a complete stream."""
+        """Whether the latest event was LAST_EVENT, which ends a complete stream."""
         return self._last_data == LAST_EVENT
 
     @property
@@ -67,12 +67,12 @@
         line_end = b"\n" if self._line else b""
         if not LINES.fullmatch(self._line + line_end):
             raise EventStreamError("stream ends with a line that is not a valid server-sent event field")
-        rest = self._lines + self._line
-        has_event = self._record_events(rest)
+        remaining = self._lines + self._line
+        has_event = self._record_events(remaining)
         if not self.is_ended:
             raise EventStreamError("stream ends without its last event")
         self._lines = self._line = b""
-        return ParsedEvents(rest, has_event)
+        return ParsedEvents(remaining, has_event)
 
     def _add_lines(self, lines: bytes) -> ParsedEvents:
         """Add complete lines, and return the events that they complete."""
--- a/llm_router/transport/http_server.py
+++ b/llm_router/transport/http_server.py
@@ -157,7 +157,7 @@
             if connection.all_answered and not in_use and (connection.has_served or is_old):
                 idle.append(connection)
         for connection in sorted(idle, key=self._eviction_order):
-            if not connection.has_unread_input:
+            if not connection.has_pending_input:
                 self._evict(connection, "idle")
                 return True
         return False
--- a/llm_router/transport/limited_request_handler.py
+++ b/llm_router/transport/limited_request_handler.py
@@ -273,11 +273,11 @@
     def _limit_input(self) -> None:
         """Let the transport receive more, or make room if too much input is buffered."""
         if self.accepts_input and self._held_input().is_too_large():
-            self._make_room()
+            self._handle_excess_input()
         else:
             super()._resume_transport_reading()
 
-    def _make_room(self) -> None:
+    def _handle_excess_input(self) -> None:
         """Pause the transport until buffered input has been parsed; subclasses may do more."""
         super()._pause_transport_reading()
 
--- a/llm_router/transport/pool.py
+++ b/llm_router/transport/pool.py
@@ -92,7 +92,7 @@
     @property
     def has_socket_for_release(self) -> bool:
         """Whether a release call can get a socket now: a free one, or that of an idle connection."""
-        return self.socket_budget.has_room or self.connector.has_idle
+        return self.socket_budget.has_free_socket or self.connector.has_idle
 
     def _drop_all_idle(self) -> int:
         return self.connector.drop_idle()
--- a/llm_router/transport/socket_budget.py
+++ b/llm_router/transport/socket_budget.py
@@ -29,7 +29,7 @@
         self._open: WeakSet[ResilientSocket] = WeakSet()
 
     @property
-    def has_room(self) -> bool:
+    def has_free_socket(self) -> bool:
         """Whether a release call may open a socket without closing an idle connection."""
         return len(self._open) < self.max_sockets
 
