--- a/llm_router/transport/runtime.py
+++ b/llm_router/transport/runtime.py
@@ -46,6 +46,13 @@
     """Return None instead of a path; used if the endpoints support no reservations and releases."""
 
 
+def _new_registry(config: RouterConfig) -> IdempotencyRegistry:
+    """Return an empty registry with the limits of the configuration."""
+    return IdempotencyRegistry(
+        config.idempotency_capacity, config.idempotency_retention, config.forgets_oldest_key
+    )
+
+
 class Runtime:
     """The lifecycle state of one router, and the dispatch of events and effects on its event loop."""
 
@@ -62,9 +69,7 @@
         self.pool = pool
         # The unanswered requests by id, from their receipt to their final answer.
         self.proxied_requests: dict[str, ProxiedRequest] = {}
-        registry = IdempotencyRegistry(
-            config.idempotency_capacity, config.idempotency_retention, config.forgets_oldest_key
-        )
+        registry = _new_registry(config)
         self.state = RouterState(config.settings, RoutingPolicy(config.settings, config.seed), registry)
         self._clock = Clock()
         self._loop = asyncio.get_running_loop()
--- a/llm_router/transport/stream_relay.py
+++ b/llm_router/transport/stream_relay.py
@@ -91,9 +91,8 @@
             return None
         pieces = [piece]
         self._check_chunk(len(piece), is_chunk_end)
-        while (
-            content._buffer
-        ):  # What was received together is passed on together. aiohttp has no public test.
+        # Pieces that were received together are passed on together. aiohttp has no public test for this.
+        while content._buffer:
             piece, is_chunk_end = await content.readchunk()
             pieces.append(piece)
             self._check_chunk(len(piece), is_chunk_end)
--- a/tests/frontends/test_crowded_connections.py
+++ b/tests/frontends/test_crowded_connections.py
@@ -33,7 +33,7 @@
     return statuses
 
 
-# Guards against connections in use that are closed, with a request on its way, to make room for a crowd.
+# Guards against connections that are closed for a crowd although their client has just sent a request.
 def test_usual_clients_on_open_connections_are_answered_beside_a_crowd(tmp_path):
     async def test():
         async with router_with_endpoints(tmp_path, limits=LIMITS) as program:
--- a/tests/transport/test_connections.py
+++ b/tests/transport/test_connections.py
@@ -4,7 +4,10 @@
 from pathlib import Path
 
 import aiohttp
+from aiohttp import StreamReader
+from aiohttp.base_protocol import BaseProtocol
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_parser import HttpRequestParser
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
 from llm_router.transport.event_loop import RECEIVE_SIZE
@@ -26,6 +29,8 @@
     assert hasattr(RequestHandler, "_resume_transport_reading")
     assert _ErrInfo(400, ValueError(), "x").status == 400
     assert hasattr(ResponseHandler, "set_response_params") and hasattr(ResponseHandler, "feed_data")
+    assert {"_upgraded", "_parser"} <= set(BaseProtocol.__slots__) and "_buffer" in StreamReader.__slots__
+    assert hasattr(HttpRequestParser, "message_consumed")
 
     async def test():
         connector = UpstreamConnector()
