--- a/llm_router/emulator/router_process.py
+++ b/llm_router/emulator/router_process.py
@@ -66,6 +66,16 @@
     folder: Path  # The configuration file is written to this folder.
 
 
+@dataclass(slots=True)
+class ProcessRun:
+    """One process of a router, and whether it was told to end.
+
+    Each run has a flag of its own, because the next run may start before the exit of this one is checked."""
+
+    process: asyncio.subprocess.Process
+    is_stopping: bool = False
+
+
 class RouterProcess:
     """A router with its configuration, its discovery agent and its process; the process can be restarted."""
 
@@ -79,8 +89,7 @@
         self._registry = registry
         self._settings = spec.settings
         self._file = spec.folder / f"{spec.name}.json"
-        self._process: asyncio.subprocess.Process | None = None
-        self._stopping = False
+        self._run: ProcessRun | None = None  # the latest run
         self.terminated_at: float | None = None  # time at which SIGTERM was sent to the process
         self._recent_lines: deque[str] = deque(maxlen=RECENT_LOG_LINES)
         self._log_readable = asyncio.Event()  # Cleared while log reading is paused.
@@ -91,9 +100,14 @@
     @property
     def process(self) -> asyncio.subprocess.Process:
         """Return the latest process; raise a RuntimeError if none was started."""
-        if self._process is None:
+        return self._latest_run.process
+
+    @property
+    def _latest_run(self) -> ProcessRun:
+        """Return the latest run; raise a RuntimeError if none was started."""
+        if self._run is None:
             raise RuntimeError(f"router {self.name}: not started")
-        return self._process
+        return self._run
 
     @property
     def is_running(self) -> bool:
@@ -107,7 +121,6 @@
         if not self.agent.is_started:
             await self.agent.start()
         self._write_configuration()
-        self._stopping = False
         self.terminated_at = None
         environment = {
             **os.environ,
@@ -122,9 +135,9 @@
             stderr=asyncio.subprocess.PIPE,
             limit=MAX_LINE_BYTES,
         )
-        self._process = process
+        self._run = ProcessRun(process)
         self._tasks.spawn(self._check_log(process))
-        self._tasks.spawn(self._check_exit(process))
+        self._tasks.spawn(self.check_exit(self._run))
         await self._wait_until_ready()
 
     async def stop(self, signals: Sequence[signal.Signals] = (signal.SIGTERM,)) -> None:
@@ -132,7 +145,7 @@
 
         One of the signals is SIGTERM. If the router does not exit, SIGKILL follows at the earliest time that
         the protocol permits. Clients use their open connections until then."""
-        self._stopping = True
+        self._latest_run.is_stopping = True
         for number in signals:
             self.signal(number)
             if number is signal.SIGTERM and self.terminated_at is None:
@@ -160,7 +173,7 @@
     async def kill(self) -> None:
         """Kill the process with SIGKILL; the oracle does not check its leases, which endpoints free later."""
         self.ready = False
-        self._stopping = True
+        self._latest_run.is_stopping = True
         self._oracle.leases.router_killed(self.name)
         self.signal(signal.SIGKILL)
         await self.process.wait()
@@ -259,12 +272,13 @@
             if event in INTERNAL_ERROR_EVENTS:
                 self._oracle.violations.add(Rule.FAULT, self.name, line.decode()[:500])
 
-    async def _check_exit(self, process: asyncio.subprocess.Process) -> None:
-        """Report a process that exits unexpectedly or with an unexpected status."""
-        status = await process.wait()
-        if not self._stopping or status not in (0, -signal.SIGKILL):
+    async def check_exit(self, run: ProcessRun) -> None:
+        """Report a process that exits without being told to end, or with an unexpected status."""
+        status = await run.process.wait()
+        if not run.is_stopping or status not in (0, -signal.SIGKILL):
             self._report_crash(f"exited with status {status}")
-        self.ready = False
+        if run is self._run:
+            self.ready = False
 
     def _report_crash(self, reason: str) -> None:
         """Report a crash with the last log lines."""
