Close no silent connection for a new one while its first request waits to be read

The same cause as for connections in use: on a busy loop the first request of a connection older than 0.3 s may lie unread, and closing it resets the connection. The new test fails without the change. The stand-in transports of two tests became one class; the checks are the same.

--- a/llm_router/transport/client_connection.py
+++ b/llm_router/transport/client_connection.py
@@ -84,10 +84,17 @@
             return False
         return not self.all_answered or (self.accepts_input and not self.is_idle)
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether no part of a request has been read on the connection."""
+        return self.is_idle and not self.has_served
+
     @property
     def has_pending_input(self) -> bool:
         """Whether the client has sent bytes that the event loop has not read yet, or has left."""
-        return self.transport is not None and has_pending_input(self.transport)
+        if self.transport is None or self.transport.get_extra_info("socket") is None:
+            return False
+        return has_pending_input(self.transport)
 
     def on_input_rejected(self) -> None:
         """Record that an error response is pending, after which the connection closes."""
--- a/llm_router/transport/http_server.py
+++ b/llm_router/transport/http_server.py
@@ -150,7 +150,7 @@
                 # The connection is closed, but stays in the table until the next loop iteration.
                 continue
             is_old = connection.idle_since < opened_before
-            if connection.is_idle and not connection.has_served and is_old:
+            if is_old and connection.is_silent and not connection.has_pending_input:
                 self._evict(connection, "silent")
                 return True
             in_use = connection.idle_since >= idle_before
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -3,7 +3,6 @@
 import asyncio
 import gc
 import weakref
-from types import SimpleNamespace
 
 import pytest
 from aiohttp import web
@@ -19,6 +18,22 @@
 GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
+class FakeTransport:
+    """A transport without a socket, which records whether it was closed."""
+
+    def __init__(self):
+        self.closed = False
+
+    def close(self):
+        self.closed = True
+
+    def write_eof(self):
+        """Do nothing."""
+
+    def get_extra_info(self, _name):
+        return None
+
+
 async def answer_ok(_request):
     return web.Response()
 
@@ -32,21 +47,8 @@
     async def never(_request):
         raise AssertionError("the handler must not be called")
 
-    class Transport:
-        def __init__(self):
-            self.closed = False
-
-        def close(self):
-            self.closed = True
-
-        def write_eof(self):
-            """Do nothing."""
-
-        def get_extra_info(self, _name):
-            return None
-
     async def test():
-        server, transports = HttpServer(never, None, *limits(3)), [Transport() for _ in range(3)]
+        server, transports = HttpServer(never, None, *limits(3)), [FakeTransport() for _ in range(3)]
         for transport in transports:
             connection = server()
             connection.connection_made(transport)
@@ -72,7 +74,7 @@
         server = HttpServer(None, None, *limits(50))
         for _ in range(50):
             connection = ClientConnection(server, loop=asyncio.get_running_loop())
-            connection.transport, connection.idle_since = SimpleNamespace(close=str, write_eof=str), 0.0
+            connection.transport, connection.idle_since = FakeTransport(), 0.0
             server._connections[connection] = None
         oldest = next(iter(server._connections))
         assert server.evict() and oldest.transport is None
@@ -315,6 +317,25 @@
     asyncio.run(test())
 
 
+# Guards against a new connection that is closed for another one while its first request waits to be read.
+def test_a_new_connection_with_an_unread_request_is_not_closed_for_another_one():
+    async def test():
+        server = HttpServer(answer_ok, plain_text_error, *limits(1, size=1000))
+        listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+        while not server.connections:
+            await asyncio.sleep(0)
+        for connection in server._clients():
+            connection.idle_since -= 2 * to_seconds(NEW_CONNECTION_AGE)
+        writer.write(GET)
+        assert not server.evict()
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+        writer.close()
+        listener.close()
+
+    asyncio.run(test())
+
+
 # Guards against a rejected connection that is reset before its client can read the rejection.
 def test_a_rejected_connection_above_the_limit_is_closed_after_its_rejection():
     async def test():
