--- a/llm_router/transport/rejected_connection.py
+++ b/llm_router/transport/rejected_connection.py
@@ -8,6 +8,7 @@
 
 from llm_router.transport.clock import to_seconds
 from llm_router.transport.event_loop import set_receive_size
+from llm_router.transport.pending_input import has_pending_input
 
 # Time limit for a rejected connection. Clients expect a response or a close within 3 s.
 REJECTED_TIMEOUT = timedelta(seconds=2.2)
@@ -60,8 +61,9 @@
         self._answer()
 
     def close(self) -> None:
-        """Close the connection after the rejection, which answers a request that has not been read yet."""
-        self._answer()
+        """Close the connection; a request that has not been read yet is answered with the rejection first."""
+        if has_pending_input(self._transport):
+            self._answer()
         self._transport.close()
 
     def _answer(self) -> None:
