--- a/llm_router/transport/event_parser.py
+++ b/llm_router/transport/event_parser.py
@@ -97,9 +97,9 @@
 
 def _data_size(lines: bytes) -> int:
     """Return the number of bytes of data in some lines."""
-    return sum(len(content) for content in DATA_LINE.findall(lines))
+    return sum(len(content) for content in DATA_LINE.findall(lines)) if lines else 0
 
 
 def _may_become_valid(line: bytes) -> bool:
     """Return whether the received part of a line may be the start of a valid one."""
-    return any(line.startswith(start) or start.startswith(line) for start in LINE_STARTS)
+    return not line or any(line.startswith(start) or start.startswith(line) for start in LINE_STARTS)
