Log the incomplete frame of an aborted stream, and blame no client for it

BodyFraming follows the sizes that chunks and bodies declare (aiohttp's parser does not report them); the head of a response is parsed by itself, so that the start of its body is known. stream_aborted has the frame's declared and received bytes and its age.

Found beside it: stream_aborted counted since_event_ms from the last bytes passed on, comments included; each stream that the router ended was logged and counted as a client that had left, as its connection's end cancels its handler; an event was logged once a second, so that fifteen streams left one line (now five a second).

--- a/llm_router/frontends/request_handling.py
+++ b/llm_router/frontends/request_handling.py
@@ -36,15 +36,17 @@
 async def run_request(runtime: Runtime, request: ProxiedRequest) -> web.StreamResponse:
     """Pass a request to the lifecycle and return its final answer.
 
-    The server cancels this coroutine when the client disconnects. An internal error ends the request as well:
-    the server answers it, so the lifecycle must not."""
+    The server cancels this coroutine when the client's connection ends. The client has left if it had no
+    complete answer then; otherwise the router has ended the connection. An internal error ends the request as
+    well: the server answers it, so the lifecycle must not."""
     request_id = request.received.request_id
     runtime.proxied_requests[request_id] = request
     try:
         runtime.feed(request.received)
         answer: web.StreamResponse = await request.sink.answer.done
     except BaseException:
-        runtime.feed(ClientDisconnected(request_id))
+        if not request.sink.answer.is_complete:
+            runtime.feed(ClientDisconnected(request_id))
         raise
     finally:
         del runtime.proxied_requests[request_id]
--- a/llm_router/log.py
+++ b/llm_router/log.py
@@ -17,14 +17,16 @@
 STANDARD_ERROR = 2
 # Time limit for writing the last lines at exit, in case the consumer stalls.
 FLUSH_TIMEOUT = timedelta(milliseconds=500)
-RATE_LIMIT_INTERVAL = timedelta(seconds=1)  # minimum time between two lines of one event
+RATE_LIMIT_INTERVAL = timedelta(seconds=1)  # the interval in which an event may have RATE_LIMIT_LINES lines
+RATE_LIMIT_LINES = 5  # Several streams may end for one reason at once, and each line tells which.
 
 
 @dataclass(slots=True)
 class RateLimitState:
-    """The monotonic time in seconds of an event's last line, and the number of lines suppressed since."""
+    """The lines of one event in the interval that began at a monotonic time in seconds."""
 
-    logged_at: float = float("-inf")
+    began_at: float = float("-inf")
+    logged: int = 0
     suppressed: int = 0
 
 
@@ -48,18 +50,22 @@
 
 
 def emit_rate_limited(event: str, **fields: object) -> None:
-    """Log an event at most once a second.
+    """Log an event, but at most RATE_LIMIT_LINES times in a RATE_LIMIT_INTERVAL.
 
     The field `more` of a line is the number of lines suppressed since the previous logged line.
     Without the limit, a flood of events would fill the log and take up the router's only core."""
     state = _rate_limits.setdefault(event, RateLimitState())
     now = time.monotonic()
-    if now - state.logged_at < RATE_LIMIT_INTERVAL.total_seconds():
+    if now - state.began_at >= RATE_LIMIT_INTERVAL.total_seconds():
+        state.began_at = now
+        state.logged = 0
+    if state.logged >= RATE_LIMIT_LINES:
         state.suppressed += 1
         return
     if state.suppressed:
         fields["more"] = state.suppressed
-    _rate_limits[event] = RateLimitState(logged_at=now)
+    state.logged += 1
+    state.suppressed = 0
     emit(event, **fields)
 
 
--- a/llm_router/transport/client_answer.py
+++ b/llm_router/transport/client_answer.py
@@ -26,6 +26,11 @@
         self.done: asyncio.Future[web.StreamResponse] = asyncio.get_running_loop().create_future()
         self._state = AnswerState.PENDING
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the client's answer has ended, although its handler may not have returned it yet."""
+        return self._state is AnswerState.COMPLETE
+
     def claim(self) -> bool:
         """Claim the answer for the response to an attempt; return False if the client has another answer."""
         if self._state is not AnswerState.PENDING:
--- a/llm_router/transport/stream_relay.py
+++ b/llm_router/transport/stream_relay.py
@@ -10,6 +10,7 @@
 from llm_router import log
 from llm_router.lifecycle import effects, events
 from llm_router.routing.stream_timeout import StreamTimeout
+from llm_router.transport.body_framing import BodyFraming, Frame
 from llm_router.transport.clock import (
     elapsed_since,
     loop_nanoseconds,
@@ -19,6 +20,7 @@
 from llm_router.transport.errors import MalformedResponseError
 from llm_router.transport.event_parser import EventStreamParser, ParsedEvents
 from llm_router.transport.frontend_protocol import ResponseSink
+from llm_router.transport.upstream_connection import UpstreamConnection
 
 TAIL_SIZE = 2048  # bytes kept from the end of a stream, which contains token usage and the load report
 # Maximum bytes of one chunk. Endpoints write a chunk for each event; a wrong chunk size may be far larger.
@@ -35,6 +37,21 @@
     return is_chunked(response) or "Content-Length" in response.headers
 
 
+def framing_of(response: aiohttp.ClientResponse) -> BodyFraming | None:
+    """Return the framing of a response's body, or None if it is complete or ends with its connection."""
+    protocol = None if response.connection is None else response.connection.protocol
+    return protocol.framing if isinstance(protocol, UpstreamConnection) else None
+
+
+def describe_frame(frame: Frame) -> dict[str, int]:
+    """Return the log fields of an incomplete chunk or body: its size, what came of it, and its age."""
+    return {
+        "declared": frame.declared_size,
+        "received": frame.received_size,
+        "age_ms": to_milliseconds(elapsed_since(frame.began_at)),
+    }
+
+
 class StreamRelay:
     """Relays the response to one attempt, each event once it is complete and valid.
 
@@ -52,6 +69,7 @@
         self._response = response
         self._feed = feed
         self._parser = EventStreamParser()
+        self._framing = framing_of(response)
         self._timeout: StreamTimeout | None = None  # None until the first event
         self._chunk_size = 0  # received bytes of the chunk that is not complete
         self._sent_size = 0  # bytes sent to the client
@@ -116,7 +134,8 @@
             await self._sink.start(self._response.status, self._response.headers)
         self._sent_size += len(parsed.data)
         self.tail = (self.tail + parsed.data)[-TAIL_SIZE:]
-        self._last_event_at = asyncio.get_running_loop().time()
+        if parsed.has_event:
+            self._last_event_at = asyncio.get_running_loop().time()
         await self._sink.write(parsed.data)
         if parsed.has_event:
             self._timeout.event_completed(loop_nanoseconds())
@@ -127,6 +146,7 @@
         if not self.has_started:
             return
         since_event = elapsed_since(self._last_event_at)
+        frame = None if self._framing is None else self._framing.frame
         log.emit_rate_limited(
             "stream_aborted",
             request=self._effect.request_id,
@@ -134,5 +154,6 @@
             reason=reason,
             relayed=self._sent_size,
             since_event_ms=to_milliseconds(since_event),
+            frame=None if frame is None else describe_frame(frame),
         )
         self._sink.abort()
--- a/llm_router/transport/upstream_connection.py
+++ b/llm_router/transport/upstream_connection.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -15,6 +16,7 @@
 from aiohttp.http_parser import RawResponseMessage
 
 from llm_router.transport.acknowledgement import reset_if_unacknowledged
+from llm_router.transport.body_framing import BodyFraming
 from llm_router.transport.clock import to_seconds
 from llm_router.transport.errors import MalformedResponseError, StaleConnectionError
 from llm_router.transport.event_loop import set_receive_size
@@ -22,6 +24,9 @@
 MAX_HEAD_SIZE = 64 * 1024  # maximum bytes of a response head and all interim responses before it
 # Maximum time from the first byte of a response head to its end. Endpoints write a head in one piece.
 HEAD_TIMEOUT = timedelta(seconds=0.3)
+HEAD_END = re.compile(rb"\n\r?\n")
+MAX_HEAD_END_SIZE = 3  # bytes of the longest HEAD_END
+STATUSES_WITHOUT_BODY = (204, 304)
 MAX_INTERIM_RESPONSES = 16  # maximum number of 1xx responses before the final response
 CONNECTION_FAILURES = (ConnectionError, aiohttp.ClientOSError, aiohttp.ServerDisconnectedError)
 
@@ -34,12 +39,15 @@
     and takes them for the response to the next request."""
 
     __slots__ = (
+        "_head_end",
         "_head_size",
         "_head_timer",
         "_idle_seconds",
         "_interim_responses",
         "_on_stale",
+        "_paused_at",
         "_response_body",
+        "framing",
         "last_received",
     )
 
@@ -53,7 +61,11 @@
         self._response_body: aiohttp.StreamReader | None = None
         self._interim_responses = 0
         self._head_size = 0
+        self._head_end = b""  # the last bytes of an incomplete head
         self._head_timer: asyncio.TimerHandle | None = None
+        # The framing of the awaited response's body; None before its head is complete, and without a framing.
+        self.framing: BodyFraming | None = None
+        self._paused_at: float | None = None  # event loop time in seconds since which nothing is read
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the connection."""
@@ -65,6 +77,8 @@
         self._response_body = None
         self._interim_responses = 0
         self._head_size = 0
+        self._head_end = b""
+        self.framing = None
         self._payload = None
         self._idle_seconds = self._loop.time() - self.last_received if self.last_received else 0.0
         super().set_response_params(**params)
@@ -74,22 +88,47 @@
         if data and (self._parser is None or self._response_is_complete()):
             self._fail_malformed(f"received {len(data)} unexpected bytes outside of a response")
             return
-        interim_before = self._interim_responses
         self.last_received = self._loop.time()
+        if data and self._response_body is None:
+            data = self._receive_head(data)
+            if not data:
+                return
         super().data_received(data)
+        if self.framing is not None:
+            self.framing.feed(data, self.last_received)
+
+    def _receive_head(self, data: bytes) -> bytes:
+        """Parse bytes up to the end of the response's head, and return the bytes of the body behind it.
+
+        Each head is parsed by itself, so that it is known where the body begins."""
+        interim_before = self._interim_responses
+        while data and self._response_body is None:
+            data = self._parse_to_head_end(data)
+            if self.exception() is not None:
+                return b""
+            if self._head_size > MAX_HEAD_SIZE or self._interim_responses > MAX_INTERIM_RESPONSES:
+                limits = f"{MAX_HEAD_SIZE} bytes or {MAX_INTERIM_RESPONSES} interim responses"
+                self._fail_malformed(f"response head exceeds {limits}")
+                return b""
         if self._response_body is not None:
-            return
-        self._head_size += len(data)
-        after_interim = self._interim_responses > interim_before and data.endswith(b"\r\n\r\n")
-        if self._head_size > MAX_HEAD_SIZE or self._interim_responses > MAX_INTERIM_RESPONSES:
-            limits = f"{MAX_HEAD_SIZE} bytes or {MAX_INTERIM_RESPONSES} interim responses"
-            self._fail_malformed(f"response head exceeds {limits}")
-        elif after_interim:
+            return data
+        if self._interim_responses > interim_before and not self._head_end:
             self._cancel_head_timer()
-        elif self._head_timer is None and data:
+        elif self._head_timer is None:
             timeout = to_seconds(HEAD_TIMEOUT)
             reason = f"response head is incomplete {timeout} s after its first byte"
             self._head_timer = self._loop.call_later(timeout, self._fail_malformed, reason)
+        return b""
+
+    def _parse_to_head_end(self, data: bytes) -> bytes:
+        """Parse bytes up to the next end of a head, and return the bytes behind it."""
+        window = self._head_end + data
+        end = HEAD_END.search(window)
+        size = len(data) if end is None else end.end() - len(self._head_end)
+        self._head_end = window[1 - MAX_HEAD_END_SIZE :] if end is None else b""
+        self._head_size += size
+        super().data_received(data[:size])
+        return data[size:]
 
     def _response_is_complete(self) -> bool:
         return self._response_body is not None and self._response_body.is_eof()
@@ -106,8 +145,31 @@
         else:
             self._cancel_head_timer()
             self._response_body = body
+            self.framing = self._framing_of(message)
             super().feed_data(data, size)
 
+    def _framing_of(self, message: RawResponseMessage) -> BodyFraming | None:
+        """Return the framing of the body behind a response head, or None if it ends with the connection."""
+        if message.code in STATUSES_WITHOUT_BODY:
+            return None
+        if message.chunked:
+            return BodyFraming(self.last_received)
+        length = message.headers.get("Content-Length")
+        return None if length is None else BodyFraming(self.last_received, int(length))
+
+    def pause_reading(self) -> None:
+        """Stop reading while the reader of the response is slow."""
+        if self._paused_at is None:
+            self._paused_at = self._loop.time()
+        super().pause_reading()
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Read again; the endpoint could not send in the meantime."""
+        if self._paused_at is not None and self.framing is not None:
+            self.framing.exclude(self._loop.time() - self._paused_at)
+        self._paused_at = None
+        super().resume_reading(resume_parser)
+
     def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
         """Raise an error in the task that awaits the response or reads its body.
 
--- a/tests/frontends/test_stream_ends.py
+++ b/tests/frontends/test_stream_ends.py
@@ -185,3 +185,23 @@
             assert not await program.stop_and_read_internal_errors()
 
     run(test())
+
+
+async def write_false_chunk_and_close(writer):
+    """Stream an event, begin a chunk of 3 GB, and close."""
+    writer.write(STREAM + chunk(EVENT) + b"c0000000\r\n" + EVENT)
+    await writer.drain()
+    writer.close()
+
+
+# Guards against a log that blames the client for a stream that the router ended, and that hides the frame.
+def test_the_log_tells_the_frame_of_an_aborted_stream_and_blames_no_client(tmp_path):
+    async def test():
+        async with router_with_endpoints(tmp_path, decode=streaming(write_false_chunk_and_close)) as program:
+            await read_until_closed(program, chat_request())
+            line = await program.wait_for_log("stream_aborted")
+            assert line["frame"].items() >= {"declared": 3221225472, "received": len(EVENT)}.items()
+            assert not await program.stop_and_read_internal_errors()
+            assert "client_disconnected" not in {each["event"] for each in program.log}
+
+    run(test())
--- a/tests/support/router_process.py
+++ b/tests/support/router_process.py
@@ -73,8 +73,8 @@
         """Stop the router and return the lines of its log that report internal errors."""
         assert await self.stop() == 0
         remaining = await within(self.process.stderr.read())
-        lines = [*self.log, *(json.loads(line) for line in remaining.splitlines())]
-        return [line for line in lines if line["event"] in INTERNAL_ERROR_EVENTS]
+        self.log += [json.loads(line) for line in remaining.splitlines()]
+        return [line for line in self.log if line["event"] in INTERNAL_ERROR_EVENTS]
 
     async def connect(self):
         """Open a connection to the router."""
