End a stream as malformed if an event follows its last one

EventStreamParser now raises an error for it, and the client's connection ends without the last chunk. Comments (load reports) behind the last event stay allowed. Three new forms failed before.

--- a/llm_router/transport/event_parser.py
+++ b/llm_router/transport/event_parser.py
@@ -88,11 +88,16 @@
         return ParsedEvents(lines[:end], has_event)
 
     def _record_events(self, lines: bytes) -> bool:
-        """Record the last data in the lines of complete events, and return whether there are events."""
+        """Record the last data in the lines of complete events, and return whether there are events.
+
+        Raise EventStreamError if an event follows the one that ends a stream."""
         found = DATA_LINE.findall(lines)
-        if found:
-            self._last_data = found[-1]
-        return bool(found)
+        if not found:
+            return False
+        if self.is_ended or LAST_EVENT in found[:-1]:
+            raise EventStreamError("an event follows the last one of the stream")
+        self._last_data = found[-1]
+        return True
 
 
 def _data_size(lines: bytes) -> int:
--- a/tests/frontends/test_stream_ends.py
+++ b/tests/frontends/test_stream_ends.py
@@ -205,3 +205,28 @@
             assert "client_disconnected" not in {each["event"] for each in program.log}
 
     run(test())
+
+
+EVENTS_AFTER_THE_LAST = {
+    "in its chunk": chunk(DONE + EVENT),
+    "in a chunk of its own": chunk(DONE) + chunk(EVENT),
+    "the last event again": chunk(DONE) + chunk(b"data: [DONE]\n\n"),
+}
+
+
+# Guards against a client that gets events behind the end of its answer, and waits for more.
+@pytest.mark.parametrize("form", EVENTS_AFTER_THE_LAST)
+def test_a_stream_ends_without_the_last_chunk_if_an_event_follows_its_last_one(tmp_path, form):
+    async def write(writer):
+        writer.write(STREAM + chunk(EVENT))
+        await asyncio.sleep(0.05)
+        writer.write(EVENTS_AFTER_THE_LAST[form] + LAST_CHUNK)
+        await writer.drain()
+
+    async def test():
+        async with router_with_endpoints(tmp_path, decode=streaming(write)) as program:
+            received = await read_until_closed(program, chat_request())
+            assert received.count(EVENT) == 1 and not received.endswith(LAST_CHUNK)
+            assert not await program.stop_and_read_internal_errors()
+
+    run(test())
