--- a/llm_router/transport/response_relay.py
+++ b/llm_router/transport/response_relay.py
@@ -67,7 +67,7 @@
         """Relay a stream event by event, unless the client has another answer when its first event comes.
 
         If the stream fails after its first event was sent, the client's connection is closed as well."""
-        stream = StreamRelay(effect, sink, response, self._feed)
+        stream = StreamRelay(effect, sink, response, self._feed, self._memory)
         try:
             await stream.run()
         except asyncio.CancelledError:
--- a/llm_router/transport/stream_relay.py
+++ b/llm_router/transport/stream_relay.py
@@ -20,8 +20,10 @@
 from llm_router.transport.errors import MalformedResponseError
 from llm_router.transport.event_parser import EventStreamParser, ParsedEvents
 from llm_router.transport.frontend_protocol import ResponseSink
+from llm_router.transport.memory_budget import MemoryBudget, MemoryShare
 from llm_router.transport.upstream_connection import UpstreamConnection
 
+EVENT_ALLOWANCE = 64 * 1024  # bytes of an incomplete event that are not counted in the budget for memory
 TAIL_SIZE = 2048  # bytes kept from the end of a stream, which contains token usage and the load report
 # Maximum bytes of one chunk. Endpoints write a chunk for each event; a wrong chunk size may be far larger.
 MAX_CHUNK_SIZE = 256 * 1024
@@ -63,12 +65,14 @@
         sink: ResponseSink,
         response: aiohttp.ClientResponse,
         feed: Callable[[events.Event], None],
+        memory: MemoryBudget,
     ) -> None:
         self._effect = effect
         self._sink = sink
         self._response = response
         self._feed = feed
         self._parser = EventStreamParser()
+        self._share = MemoryShare(memory, EVENT_ALLOWANCE)
         self._framing = framing_of(response)
         self._timeout: StreamTimeout | None = None  # None until the first event
         self._chunk_size = 0  # received bytes of the chunk that is not complete
@@ -85,10 +89,19 @@
         """Relay the stream to its end, but stop at its first event if the client has another answer.
 
         Raise an error if the stream breaks off, stalls or is malformed, also if its last event is missing."""
+        try:
+            await self._relay_events()
+        finally:
+            self._share.release()
+
+    async def _relay_events(self) -> None:
+        """Relay the stream to its end; bytes are counted until the client's connection has taken them."""
         while (piece := await self._read_piece()) is not None:
             parsed = self._parser.feed(piece)
+            self._count(self._parser.kept_size + len(parsed.data))
             if parsed.data and not await self._forward(parsed):
                 return
+            self._count(self._parser.kept_size)
             if self._timeout is not None:
                 self._timeout.event_grew(loop_nanoseconds(), self._parser.incomplete_size)
         if not (self._response.content.at_eof() and is_framed(self._response)):
@@ -97,6 +110,11 @@
         if last.data:
             await self._forward(last)
 
+    def _count(self, size: int) -> None:
+        """Count the bytes that are kept; raise MalformedResponseError if they exceed the memory budget."""
+        if not self._share.resize(size):
+            raise MalformedResponseError("event exceeds the memory for responses")
+
     async def _read_piece(self) -> bytes | None:
         """Return the next bytes of the stream, or None at its end.
 
--- a/tests/transport/test_client_answer.py
+++ b/tests/transport/test_client_answer.py
@@ -97,7 +97,8 @@
         return piece, bool(piece)
 
     content = SimpleNamespace(readany=readany, readchunk=readchunk, _buffer=(), at_eof=lambda: True)
-    return SimpleNamespace(status=200, headers={"Transfer-Encoding": "chunked"}, content=content)
+    headers = {"Transfer-Encoding": "chunked"}
+    return SimpleNamespace(status=200, headers=headers, content=content, connection=None)
 
 
 def attempt(number):
--- a/tests/transport/test_response_memory.py
+++ b/tests/transport/test_response_memory.py
@@ -6,12 +6,16 @@
 import pytest
 
 from llm_router.frontends.kserve.proxied_request import BufferedResponseSink
+from llm_router.lifecycle.effects import OpenAttempt
 from llm_router.routing.events import AttemptStatus
 from llm_router.transport.errors import MalformedResponseError
+from llm_router.transport.event_stream import EventStreamSink
 from llm_router.transport.memory_budget import MemoryBudget, MemoryShare
 from llm_router.transport.response_relay import BODY_COPIES, ResponseRelay
+from llm_router.transport.stream_relay import EVENT_ALLOWANCE
 
 PIECE = b"x" * 1000
+ATTEMPT = OpenAttempt("q", 0, SimpleNamespace(name="w"), None, is_prefill=False)
 
 
 def response(*pieces):
@@ -75,3 +79,64 @@
         assert result.status is AttemptStatus.RESET and is_free(budget)
 
     asyncio.run(test())
+
+
+class MeteredSink(EventStreamSink):
+    """A sink that records what a budget counts at each write to the client."""
+
+    def __init__(self, budget):
+        super().__init__(None, None, lambda: False)
+        self.budget = budget
+        self.counted = []
+
+    async def start(self, _status, _headers):
+        pass
+
+    async def write(self, _data):
+        self.counted.append(self.budget._used)
+
+    async def finish(self):
+        pass
+
+    def abort(self):
+        pass
+
+
+LARGE_LINE = b"data: " + b"x" * 100_000
+
+
+def stream(*pieces):
+    """Return a chunked stream whose reads return the pieces and then its end."""
+    remaining = iter((*pieces, b""))
+
+    async def readchunk():
+        piece = next(remaining)
+        return piece, bool(piece)
+
+    content = SimpleNamespace(readchunk=readchunk, _buffer=(), at_eof=lambda: True)
+    headers = {"Transfer-Encoding": "chunked"}
+    return SimpleNamespace(status=200, headers=headers, content=content, connection=None)
+
+
+# Guards against a large event that is not counted until it is sent, or that stays counted for good.
+def test_a_large_event_is_counted_until_it_is_sent():
+    async def test():
+        budget = MemoryBudget(100_000)
+        sink = MeteredSink(budget)
+        response = stream(LARGE_LINE, b"\n\n", b"data: [DONE]\n\n")
+        result = await ResponseRelay(budget, lambda _event: None).relay(ATTEMPT, sink, response)
+        assert result.status is AttemptStatus.OK and is_free(budget)
+        assert sink.counted == [len(LARGE_LINE) + 2 - EVENT_ALLOWANCE, 0]
+
+    asyncio.run(test())
+
+
+def test_an_event_beyond_the_budget_ends_its_stream():
+    async def test():
+        budget = MemoryBudget(100_000)
+        sink = MeteredSink(budget)
+        response = stream(b"data: 1\n\n", LARGE_LINE, b"x" * 100_000)
+        result = await ResponseRelay(budget, lambda _event: None).relay(ATTEMPT, sink, response)
+        assert result.status is AttemptStatus.ERROR and is_free(budget)
+
+    asyncio.run(test())
