End a stream whose endpoint does not fill the size that it declares, and cut no sound one

Cause: the size that an endpoint declares was believed until it showed itself false, and sound events inside the unsound frame started the time limit again. The only limit counted received bytes, so that at a usual pace it came after minutes, and it cut a sound chunk of 1 MB.

--- a/llm_router/transport/clock.py
+++ b/llm_router/transport/clock.py
@@ -32,7 +32,12 @@
 
 def loop_nanoseconds() -> int:
     """Return the time of the running event loop in nanoseconds, the unit of the routing policy."""
-    return int(asyncio.get_running_loop().time() * NANOSECONDS_PER_SECOND)
+    return to_nanoseconds(asyncio.get_running_loop().time())
+
+
+def to_nanoseconds(seconds: float) -> int:
+    """Return a duration or time of the event loop's clock in nanoseconds, the unit of the routing policy."""
+    return int(seconds * NANOSECONDS_PER_SECOND)
 
 
 def nanoseconds_to_seconds(nanoseconds: int) -> float:
--- a/llm_router/transport/response_relay.py
+++ b/llm_router/transport/response_relay.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
-from datetime import timedelta
 from typing import cast
 
 import aiohttp
@@ -15,14 +14,14 @@
 from llm_router.configuration import MAX_BODY_BYTES
 from llm_router.lifecycle import effects, events
 from llm_router.routing.events import AttemptStatus
-from llm_router.transport.clock import to_seconds
+from llm_router.routing.stream_timeout import EVENT_TIMEOUT
+from llm_router.transport.clock import loop_nanoseconds
 from llm_router.transport.errors import MalformedResponseError
 from llm_router.transport.frontend_protocol import BufferedSink, ResponseSink
 from llm_router.transport.memory_budget import MemoryBudget, MemoryShare
+from llm_router.transport.response_body import ResponseBody
 from llm_router.transport.stream_relay import StreamRelay
 
-# Maximum time between two pieces of a response that is read and not passed on.
-DISCARD_TIMEOUT = timedelta(seconds=4.8)
 MAX_REASON_LENGTH = 200  # maximum characters of an error in the log
 BODY_COPIES = 2  # A buffered body is copied when it is complete.
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
@@ -89,13 +88,10 @@
         Where attempts must not be cancelled, one may still run when its request has another answer. Closing
         its connection would cancel it."""
         log.emit_rate_limited("response_discarded", endpoint=effect.endpoint.name, request=effect.request_id)
+        body = ResponseBody(response)
         size = 0
         with suppress(*CONNECTION_ERRORS):
-            while size <= MAX_BODY_BYTES:
-                async with asyncio.timeout(to_seconds(DISCARD_TIMEOUT)):
-                    piece = await response.content.readany()
-                if not piece:
-                    break
+            while size <= MAX_BODY_BYTES and (piece := await body.read(loop_nanoseconds() + EVENT_TIMEOUT)):
                 size += len(piece)
         return RelayResult(AttemptStatus.CANCELLED)
 
--- a/llm_router/transport/stream_relay.py
+++ b/llm_router/transport/stream_relay.py
@@ -10,48 +10,15 @@
 from llm_router import log
 from llm_router.lifecycle import effects, events
 from llm_router.routing.stream_timeout import StreamTimeout
-from llm_router.transport.body_framing import BodyFraming, Frame
-from llm_router.transport.clock import (
-    elapsed_since,
-    loop_nanoseconds,
-    nanoseconds_to_seconds,
-    to_milliseconds,
-)
+from llm_router.transport.clock import elapsed_since, loop_nanoseconds, to_milliseconds
 from llm_router.transport.errors import MalformedResponseError
 from llm_router.transport.event_parser import EventStreamParser, ParsedEvents
 from llm_router.transport.frontend_protocol import ResponseSink
 from llm_router.transport.memory_budget import MemoryBudget, MemoryShare
-from llm_router.transport.upstream_connection import UpstreamConnection
+from llm_router.transport.response_body import ResponseBody, describe_frame
 
 EVENT_ALLOWANCE = 64 * 1024  # bytes of an incomplete event that are not counted in the budget for memory
 TAIL_SIZE = 2048  # bytes kept from the end of a stream, which contains token usage and the load report
-# Maximum bytes of one chunk. Endpoints write a chunk for each event; a wrong chunk size may be far larger.
-MAX_CHUNK_SIZE = 256 * 1024
-
-
-def is_chunked(response: aiohttp.ClientResponse) -> bool:
-    """Return whether a response consists of chunks."""
-    return "Transfer-Encoding" in response.headers
-
-
-def is_framed(response: aiohttp.ClientResponse) -> bool:
-    """Return whether a response declares its length or is chunked, so that a truncation can be detected."""
-    return is_chunked(response) or "Content-Length" in response.headers
-
-
-def framing_of(response: aiohttp.ClientResponse) -> BodyFraming | None:
-    """Return the framing of a response's body, or None if it is complete or ends with its connection."""
-    protocol = None if response.connection is None else response.connection.protocol
-    return protocol.framing if isinstance(protocol, UpstreamConnection) else None
-
-
-def describe_frame(frame: Frame) -> dict[str, int]:
-    """Return the log fields of an incomplete chunk or body: its size, what came of it, and its age."""
-    return {
-        "declared": frame.declared_size,
-        "received": frame.received_size,
-        "age_ms": to_milliseconds(elapsed_since(frame.began_at)),
-    }
 
 
 class StreamRelay:
@@ -73,9 +40,8 @@
         self._feed = feed
         self._parser = EventStreamParser()
         self._share = MemoryShare(memory, EVENT_ALLOWANCE)
-        self._framing = framing_of(response)
+        self._body = ResponseBody(response)
         self._timeout: StreamTimeout | None = None  # None until the first event
-        self._chunk_size = 0  # received bytes of the chunk that is not complete
         self._sent_size = 0  # bytes sent to the client
         self._last_event_at = 0.0  # loop time in seconds
         self.tail = b""
@@ -96,15 +62,17 @@
 
     async def _relay_events(self) -> None:
         """Relay the stream to its end; bytes are counted until the client's connection has taken them."""
-        while (piece := await self._read_piece()) is not None:
+        while piece := await self._body.read(None if self._timeout is None else self._timeout.expires_at):
             parsed = self._parser.feed(piece)
             self._count(self._parser.kept_size + len(parsed.data))
+            if parsed.has_event and self._parser.is_ended:
+                self._body.last_event_received()
             if parsed.data and not await self._forward(parsed):
                 return
             self._count(self._parser.kept_size)
             if self._timeout is not None:
                 self._timeout.event_grew(loop_nanoseconds(), self._parser.incomplete_size)
-        if not (self._response.content.at_eof() and is_framed(self._response)):
+        if not self._body.is_complete:
             raise ConnectionError("stream may be truncated: it has no content length and is not chunked")
         last = self._parser.finish()
         if last.data:
@@ -115,33 +83,6 @@
         if not self._share.resize(size):
             raise MalformedResponseError("event exceeds the memory for responses")
 
-    async def _read_piece(self) -> bytes | None:
-        """Return the next bytes of the stream, or None at its end.
-
-        Raise TimeoutError if the stream stalls, and MalformedResponseError if a chunk is too large."""
-        expires_at = None if self._timeout is None else nanoseconds_to_seconds(self._timeout.expires_at)
-        content = self._response.content
-        async with asyncio.timeout_at(expires_at):
-            piece, is_chunk_end = await content.readchunk()
-        if not piece and not is_chunk_end:
-            return None
-        pieces = [piece]
-        self._check_chunk(len(piece), is_chunk_end)
-        # Pieces that were received together are passed on together. aiohttp has no public test for this.
-        while content._buffer:
-            piece, is_chunk_end = await content.readchunk()
-            pieces.append(piece)
-            self._check_chunk(len(piece), is_chunk_end)
-        return b"".join(pieces)
-
-    def _check_chunk(self, size: int, is_chunk_end: bool) -> None:
-        """Count received bytes of a chunk; raise MalformedResponseError if the chunk is too large."""
-        self._chunk_size += size
-        if is_chunked(self._response) and self._chunk_size > MAX_CHUNK_SIZE:
-            raise MalformedResponseError(f"chunk is over the limit of {MAX_CHUNK_SIZE} bytes")
-        if is_chunk_end:
-            self._chunk_size = 0
-
     async def _forward(self, parsed: ParsedEvents) -> bool:
         """Send events to the client; return False if the client has another answer."""
         if self._timeout is None:
@@ -164,7 +105,7 @@
         if not self.has_started:
             return
         since_event = elapsed_since(self._last_event_at)
-        frame = None if self._framing is None else self._framing.frame
+        frame = self._body.incomplete_frame
         log.emit_rate_limited(
             "stream_aborted",
             request=self._effect.request_id,
--- a/tests/frontends/test_stream_ends.py
+++ b/tests/frontends/test_stream_ends.py
@@ -189,7 +189,9 @@
 
 async def write_false_chunk_and_close(writer):
     """Stream an event, begin a chunk of 3 GB, and close."""
-    writer.write(STREAM + chunk(EVENT) + b"c0000000\r\n" + EVENT)
+    writer.write(STREAM + chunk(EVENT))
+    await asyncio.sleep(0.05)
+    writer.write(b"c0000000\r\n" + EVENT)
     await writer.drain()
     writer.close()
 
--- a/tests/transport/test_client_answer.py
+++ b/tests/transport/test_client_answer.py
@@ -92,11 +92,7 @@
     async def readany():
         return next(remaining)
 
-    async def readchunk():
-        piece = next(remaining)
-        return piece, bool(piece)
-
-    content = SimpleNamespace(readany=readany, readchunk=readchunk, _buffer=(), at_eof=lambda: True)
+    content = SimpleNamespace(readany=readany, at_eof=lambda: True)
     headers = {"Transfer-Encoding": "chunked"}
     return SimpleNamespace(status=200, headers=headers, content=content, connection=None)
 
--- a/tests/transport/test_response_memory.py
+++ b/tests/transport/test_response_memory.py
@@ -109,11 +109,10 @@
     """Return a chunked stream whose reads return the pieces and then its end."""
     remaining = iter((*pieces, b""))
 
-    async def readchunk():
-        piece = next(remaining)
-        return piece, bool(piece)
+    async def readany():
+        return next(remaining)
 
-    content = SimpleNamespace(readchunk=readchunk, _buffer=(), at_eof=lambda: True)
+    content = SimpleNamespace(readany=readany, at_eof=lambda: True)
     headers = {"Transfer-Encoding": "chunked"}
     return SimpleNamespace(status=200, headers=headers, content=content, connection=None)
 
