Reserve the port of a router in a test until the router listens

A free port was found with a bind and let go, and another process took it before the router's bind.

reserve_port keeps the socket bound without listening. SO_REUSEADDR is set after the bind, so that the router's listener may share the port and no other reservation may.

--- a/llm_router/emulator/router_process.py
+++ b/llm_router/emulator/router_process.py
@@ -4,13 +4,10 @@
 
 import asyncio
 import os
-import random
 import signal
-import socket
 import sys
 from collections import Counter, deque
 from collections.abc import Sequence
-from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -21,10 +18,9 @@
 from llm_router.emulator.discovery import DiscoveryAgent, EndpointRegistry
 from llm_router.emulator.fault_plan import FAULT_PLAN_VARIABLE
 from llm_router.emulator.http import message, read_message
+from llm_router.emulator.listen_ports import reserve_port
 from llm_router.emulator.oracle import Oracle, Rule
 
-# Range of listening ports. It is below the ephemeral ports, which the kernel assigns to outgoing connections.
-LISTEN_PORTS = (12_000, 32_000)
 START_TIMEOUT = 10.0  # seconds from the start of a router within which it must be ready
 READINESS_INTERVAL = 0.05  # seconds between two readiness probes
 READINESS_TIMEOUT = 1.0  # seconds that one readiness probe may take
@@ -48,15 +44,6 @@
 )
 
 
-def free_port() -> int:
-    """Return a free loopback port outside the range of ephemeral ports."""
-    while True:
-        port = random.randrange(*LISTEN_PORTS)
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return port
-
-
 @dataclass(slots=True, frozen=True)
 class RouterSpec:
     """The name, settings and configuration folder of a router."""
@@ -81,7 +68,7 @@
 
     def __init__(self, oracle: Oracle, registry: EndpointRegistry, spec: RouterSpec) -> None:
         self.name = spec.name
-        self.listen = f"127.0.0.1:{free_port()}"
+        self.listen = f"127.0.0.1:{reserve_port()}"
         self.fault_plan: dict[str, Any] = {}  # Takes effect at the next start.
         self.ready = False
         self.events: Counter[str] = Counter()  # number of log lines for each event name
--- a/tests/frontends/test_platform_endpoint_list.py
+++ b/tests/frontends/test_platform_endpoint_list.py
@@ -5,10 +5,10 @@
     StandInServer,
     chat_request,
     decode,
-    free_port,
     hang,
     message,
     registry_entry,
+    reserve_port,
     router_with_endpoints,
     run,
 )
@@ -54,7 +54,7 @@
 def test_a_router_serves_from_the_initial_endpoints_while_discovery_is_down(tmp_path, silent):
     async def test():
         async with StandInServer(hang) as silent_discovery:
-            unreachable = silent_discovery.address if silent else f"127.0.0.1:{free_port()}"
+            unreachable = silent_discovery.address if silent else f"127.0.0.1:{reserve_port()}"
             async with router_with_endpoints(tmp_path, discovery=unreachable) as program:
                 answer = await program.exchange(message("GET /health/ready HTTP/1.1", Host="h"))
                 assert answer[0].endswith("200 OK")
--- a/tests/support/kserve_sidecar.py
+++ b/tests/support/kserve_sidecar.py
@@ -5,7 +5,7 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
-from stand_ins import free_port, message, started_process
+from stand_ins import message, reserve_port, started_process
 
 ANSWER = b'{"model_name":"desk","outputs":[{"name":"text","shape":[1],"datatype":"BYTES","data":["ok"]}]}'
 ROOT = Path(__file__).parents[2]
@@ -41,7 +41,7 @@
 @asynccontextmanager
 async def sidecar(tmp_path, *servers):
     """Run the router with the shipped configuration file, a free listen address and the given endpoints."""
-    address = f"127.0.0.1:{free_port()}"
+    address = f"127.0.0.1:{reserve_port()}"
     configuration = (ROOT / "deploy/kserve.toml").read_text()
     (tmp_path / "kserve.toml").write_text(re.sub(r'listen = ".*?"', f'listen = "{address}"', configuration))
     (tmp_path / "xds").mkdir()
--- a/tests/support/router_process.py
+++ b/tests/support/router_process.py
@@ -15,7 +15,7 @@
 
 from llm_router.emulator.fault_plan import FAULT_PLAN_VARIABLE
 from llm_router.emulator.http import read_message
-from llm_router.emulator.router_process import free_port
+from llm_router.emulator.listen_ports import reserve_port
 
 MAX_LINE_BYTES = 1 << 20  # maximum length of a log line
 INTERNAL_ERROR_EVENTS = (
@@ -119,7 +119,7 @@
 
     `plan` is a fault plan for the router's system calls (llm_router.emulator.fault_plan). `changes` replace
     keys of the configuration."""
-    address = f"127.0.0.1:{free_port()}"
+    address = f"127.0.0.1:{reserve_port()}"
     async with StandInDiscovery(entries) as discovery:
         configuration = {
             "name": "n1",
--- a/tests/support/stand_ins.py
+++ b/tests/support/stand_ins.py
@@ -20,7 +20,7 @@
 from time_limits import run, within
 
 from llm_router.emulator.http import chunk, message, read_message
-from llm_router.emulator.router_process import free_port
+from llm_router.emulator.listen_ports import reserve_port
 
 __all__ = [
     "DONE",
@@ -37,7 +37,7 @@
     "chat_request",
     "chunk",
     "decode",
-    "free_port",
+    "reserve_port",
     "hang",
     "message",
     "never_prefill",
--- a/tests/test_log_queue.py
+++ b/tests/test_log_queue.py
@@ -10,7 +10,7 @@
 from datetime import timedelta
 
 import pytest
-from stand_ins import SETTINGS, RouterProcess, StandInDiscovery, free_port, message, run
+from stand_ins import SETTINGS, RouterProcess, StandInDiscovery, message, reserve_port, run
 
 from llm_router import log_queue
 from llm_router.log_queue import MAX_QUEUED_BYTES, LogQueue
@@ -111,7 +111,7 @@
 
     async def test():
         async with StandInDiscovery([]) as discovery:
-            address = f"127.0.0.1:{free_port()}"
+            address = f"127.0.0.1:{reserve_port()}"
             configuration = {
                 "name": "n",
                 "listen": address,
--- a/tests/transport/test_client_disconnect.py
+++ b/tests/transport/test_client_disconnect.py
@@ -8,7 +8,7 @@
 from types import SimpleNamespace
 
 import pytest
-from stand_ins import chat_request, free_port, within
+from stand_ins import chat_request, reserve_port, within
 
 from llm_router.frontends.platform import PlatformFrontend
 from llm_router.lifecycle.events import RequestReceived
@@ -63,7 +63,7 @@
 
 @pytest.fixture
 def config(configuration):
-    return configuration(listen=f"127.0.0.1:{free_port()}")
+    return configuration(listen=f"127.0.0.1:{reserve_port()}")
 
 
 @pytest.mark.usefixtures("never_blocked")
