--- a/llm_router/routing/stream_timeout.py
+++ b/llm_router/routing/stream_timeout.py
@@ -9,6 +9,8 @@
 EVENT_TIMEOUT = 4_800 * MILLISECOND
 # Minimum rate in bytes per second at which an endpoint must write an event that takes longer than this.
 MIN_EVENT_RATE = 100
+# Maximum time by which the bytes of one incomplete event extend the time for it, however many they are.
+MAX_EVENT_EXTENSION = 60 * SECOND
 
 
 class StreamTimeout:
@@ -38,5 +40,5 @@
     @property
     def expires_at(self) -> int:
         """The time at which the stream counts as stalled unless it makes progress."""
-        extension = self._incomplete_size * SECOND // MIN_EVENT_RATE
+        extension = min(self._incomplete_size * SECOND // MIN_EVENT_RATE, MAX_EVENT_EXTENSION)
         return EVENT_TIMEOUT + min(self._waiting_since + extension, self._last_progress)
