Soak: streams that go on with events behind a false chunk size, and a check of their end

The soak's malformed endpoints sent a chunk without a size alone, which a parser rejects at once. Half of their streams now declare a chunk of 3 GiB and go on with events for up to 8 s, several endpoints may be malformed together, and the oracle reports a stream that is open for over 5 s after it became malformed, or ends as if it were whole (rule lost).

--- a/llm_router/emulator/endpoint.py
+++ b/llm_router/emulator/endpoint.py
@@ -32,6 +32,9 @@
 TIME_REMAINING_HEADER = re.compile(rb"X-Time-Left-Ms: (\d+)", re.IGNORECASE)
 MALFORMED_RESPONSE = b"\x00\xffnoise" * 9 + b"\r\n\r\n"
 MALFORMED_CHUNK = b"no size\r\n"
+FALSE_SIZE = b"c0000000\r\n"  # the size of a chunk of 3 GiB, which is never filled
+FALSE_SIZE_SHARE = 0.5  # probability that a malformed stream goes on with events behind a false size
+FALSE_CHUNK_EVENTS = 400  # maximum number of events in a chunk of a false size
 INTERNAL_ERROR = message("HTTP/1.1 500 Internal Server Error")
 
 
@@ -285,7 +288,7 @@
             else:
                 stream_began = True
                 self._oracle.executions.first_token_written(request_id)
-                await self._stream(reader, writer)
+                await self._stream(request_id, reader, writer)
         finally:
             self._oracle.executions.decode_ended(request_id, stream_began)
 
@@ -294,26 +297,49 @@
         if self._slow_start is not None:
             self._slow_start.attempt_received(request_id)
 
-    async def _stream(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Stream a response; stop early if the router disconnects or the behaviour breaks the stream.
-
-        Each event carries the name of the endpoint and the time at which the event is written."""
+    async def _stream(
+        self, request_id: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Stream a response; stop early if the router disconnects or the behaviour breaks the stream."""
+        self._oracle.clients.stream_started(request_id)
         writer.write(STREAM_HEAD)
         for _ in range(EVENT_COUNT):
-            written_at = self._oracle.clock.now
-            writer.write(chunk(b'data: {"by":"%s","at":%.6f}\n\n' % (self.name.encode(), written_at)))
+            writer.write(chunk(self._event()))
             await asyncio.sleep(EVENT_INTERVAL)
-            if reader.at_eof() or reader.exception() is not None:
+            if _is_disconnected(reader):
                 writer.close()
                 return
             if self._behaviour is EndpointBehaviour.RESETTING:
                 writer.transport.abort()
                 return
             if self._behaviour is EndpointBehaviour.MALFORMED:
-                writer.write(MALFORMED_CHUNK)
+                self._oracle.clients.stream_malformed(request_id)
+                await self._stream_malformed(reader, writer)
                 return
         writer.write(chunk(b"data: [DONE]\n\n") + LAST_CHUNK)
 
+    async def _stream_malformed(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Send a chunk without a size, or one of a false size with events until the router disconnects."""
+        if self._rng.random() >= FALSE_SIZE_SHARE:
+            writer.write(MALFORMED_CHUNK)
+            return
+        writer.write(FALSE_SIZE)
+        for _ in range(FALSE_CHUNK_EVENTS):
+            writer.write(self._event())
+            await asyncio.sleep(EVENT_INTERVAL)
+            if _is_disconnected(reader):
+                break
+        writer.close()
+
+    def _event(self) -> bytes:
+        """Return an event with the name of the endpoint and the time at which the event is written."""
+        return b'data: {"by":"%s","at":%.6f}\n\n' % (self.name.encode(), self._oracle.clock.now)
+
+
+def _is_disconnected(reader: asyncio.StreamReader) -> bool:
+    """Return whether the router has closed or reset a connection."""
+    return reader.at_eof() or reader.exception() is not None
+
 
 async def _wait_for_disconnect(reader: asyncio.StreamReader) -> None:
     """Wait until the router closes or resets the connection of an attempt."""
--- a/llm_router/emulator/load_generator.py
+++ b/llm_router/emulator/load_generator.py
@@ -256,17 +256,25 @@
         if head.headers.get("transfer-encoding") != "chunked":
             await reader.readexactly(int(head.headers.get("content-length", 0)))
             return head
+        is_whole = False
         try:
-            while size := int(await reader.readline(), 16):
-                data = await reader.readexactly(size + 2)
-                for endpoint, written_at in EVENT_PATTERN.findall(data):
-                    self._oracle.clients.event_received(request_id, endpoint.decode(), float(written_at))
-            await reader.readline()
+            await self._receive_events(request_id, reader)
+            is_whole = True
         except (asyncio.IncompleteReadError, ConnectionError, ValueError):
             self._oracle.traffic.counts["streams cut"] += 1
             return head._replace(headers={"connection": "close"})
+        finally:
+            self._oracle.clients.stream_ended(request_id, is_whole=is_whole)
         return head
 
+    async def _receive_events(self, request_id: str, reader: asyncio.StreamReader) -> None:
+        """Receive the chunks of a stream to its last one, and report each event to the oracle."""
+        while size := int(await reader.readline(), 16):
+            data = await reader.readexactly(size + 2)
+            for endpoint, written_at in EVENT_PATTERN.findall(data):
+                self._oracle.clients.event_received(request_id, endpoint.decode(), float(written_at))
+        await reader.readline()
+
     async def _send_malformed(self) -> None:
         """Send a malformed request; count it if the router neither answers nor closes in time."""
         connection = await self._connect()
--- a/llm_router/emulator/oracle/client_checks.py
+++ b/llm_router/emulator/oracle/client_checks.py
@@ -7,6 +7,7 @@
 from llm_router.emulator.oracle.violations import Rule, ViolationLog
 
 ANSWER_SLACK = 0.5  # seconds after the deadline within which the final answer may still arrive
+MALFORMED_STREAM_LIMIT = 5.0  # seconds within which a router must end a stream that became malformed
 EVENT_SLACK = 0.3  # maximum seconds from an endpoint's write of an event to its arrival at the client
 
 
@@ -58,6 +59,26 @@
         if record.disconnected_at is None and not record.answered:
             self._violations.add(Rule.LOST, record.router, f"{request_id}: {reason}")
 
+    def stream_started(self, request_id: str) -> None:
+        """Record that an endpoint begins a stream for a request, which replaces an earlier one."""
+        self._traffic.requests[request_id].malformed_at = None
+
+    def stream_malformed(self, request_id: str) -> None:
+        """Record that the stream for a request is malformed from now on."""
+        self._traffic.requests[request_id].malformed_at = self._clock.now
+
+    def stream_ended(self, request_id: str, *, is_whole: bool) -> None:
+        """Check the end of a stream: a malformed one must end in time, and not as if it were whole."""
+        record = self._traffic.requests[request_id]
+        if record.malformed_at is None:
+            return
+        open_for = self._clock.now - record.malformed_at
+        if is_whole:
+            self._violations.add(Rule.LOST, record.router, f"{request_id}: a malformed stream ended as whole")
+        elif open_for > MALFORMED_STREAM_LIMIT + self._clock.scheduling_delay:
+            detail = f"{request_id}: a stream was open for {open_for:.3f} s after it became malformed"
+            self._violations.add(Rule.LOST, record.router, detail)
+
     def event_received(self, request_id: str, endpoint: str, written_at: float) -> None:
         """Check the delay from an endpoint's write of an event to its arrival at the client.
 
--- a/llm_router/emulator/oracle/traffic_record.py
+++ b/llm_router/emulator/oracle/traffic_record.py
@@ -43,6 +43,7 @@
     written_at: float = 0.0  # time at which the last byte of the request was written
     disconnected_at: float | None = None  # time at which the client closed its connection
     answered: bool = False  # The client has received the final answer or its head.
+    malformed_at: float | None = None  # time at which the latest stream for the request became malformed
     prefills: int = 0  # number of prefill attempts in flight
     decodes: int = 0  # number of decode attempts in flight
     decodes_before_first_token: int = 0  # decode attempts in flight without a token; they claim the leases
--- a/llm_router/emulator/soak/endpoint_faults.py
+++ b/llm_router/emulator/soak/endpoint_faults.py
@@ -26,6 +26,7 @@
     EndpointBehaviour.FROZEN,
     EndpointBehaviour.MUTE,
     EndpointBehaviour.TRUNCATING,
+    EndpointBehaviour.MALFORMED,
 )
 # A loss of responses lasts this many times as long as other faults, so up to 7.5 s.
 # The router must retry release calls for all this time.
