--- a/llm_router/emulator/oracle/client_checks.py
+++ b/llm_router/emulator/oracle/client_checks.py
@@ -60,7 +60,7 @@
             self._violations.add(Rule.LOST, record.router, f"{request_id}: {reason}")
 
     def stream_started(self, request_id: str) -> None:
-        """Record that an endpoint begins a stream for a request, which replaces an earlier one."""
+        """Record that an endpoint begins a new stream for a request."""
         self._traffic.requests[request_id].malformed_at = None
 
     def stream_malformed(self, request_id: str) -> None:
--- a/llm_router/routing/declared_size.py
+++ b/llm_router/routing/declared_size.py
@@ -22,7 +22,7 @@
 
 @dataclass(slots=True, frozen=True)
 class IncompleteFrame:
-    """A chunk or body of which some bytes are still to come; sizes are in bytes, the time in nanoseconds."""
+    """A chunk or body that is not complete; its sizes are in bytes, and its start time is in nanoseconds."""
 
     declared_size: int
     received_size: int
--- a/llm_router/transport/body_framing.py
+++ b/llm_router/transport/body_framing.py
@@ -13,7 +13,7 @@
 
 @dataclass(slots=True)
 class Frame:
-    """A chunk, or a body with a Content-Length, of which some bytes are still to come; sizes are in bytes."""
+    """A chunk, or a body with a Content-Length, that is not complete; its sizes are in bytes."""
 
     declared_size: int
     # Event loop time in seconds at which the frame began; pauses of the router's reading are added.
@@ -27,7 +27,7 @@
 
 
 class BodyFraming:
-    """The frames of one body. `frame` is the one that is not complete, or None between two frames.
+    """The frames of one body. `frame` is the incomplete frame, or None between two frames.
 
     A body with a Content-Length is one frame, and each chunk of a chunked body is one. `feed` gets the bytes
     that aiohttp's parser has accepted, so it checks nothing."""
--- a/llm_router/transport/event_parser.py
+++ b/llm_router/transport/event_parser.py
@@ -122,7 +122,7 @@
     def _record_events(self, lines: bytes) -> bool:
         """Record the last data in the lines of complete events, and return whether there are events.
 
-        Raise EventStreamError if an event follows the one that ends a stream."""
+        Raise EventStreamError if an event follows the last one of a stream."""
         found = DATA_LINE.findall(lines)
         if not found:
             return False
--- a/llm_router/transport/response_body.py
+++ b/llm_router/transport/response_body.py
@@ -43,7 +43,7 @@
 
         Raise TimeoutError if none come until `expires_at`, a loop time in nanoseconds. Raise
         MalformedResponseError if a chunk or the body declares a size that is not credible."""
-        # A check before this would count the time for which waiting bytes made the router pause its reading.
+        # The frame is checked afterwards, because only this read ends a pause of the connection.
         data = self._response.content.read_nowait() or await self._wait(expires_at)
         self._check_frame()
         return data
@@ -80,7 +80,7 @@
 
     @property
     def incomplete_frame(self) -> Frame | None:
-        """The chunk or body of which some bytes are still to come."""
+        """The chunk or body that is not complete, or None between two chunks."""
         return None if self._framing is None else self._framing.frame
 
 
--- a/llm_router/transport/upstream_connection.py
+++ b/llm_router/transport/upstream_connection.py
@@ -100,7 +100,7 @@
     def _receive_head(self, data: bytes) -> bytes:
         """Parse bytes up to the end of the response's head, and return the bytes of the body behind it.
 
-        Each head is parsed by itself, so that it is known where the body begins."""
+        Each head is parsed separately from the bytes behind it, so that the start of the body is known."""
         interim_before = self._interim_responses
         while data and self._response_body is None:
             data = self._parse_to_head_end(data)
--- a/tests/frontends/test_declared_sizes.py
+++ b/tests/frontends/test_declared_sizes.py
@@ -1,11 +1,21 @@
 """Checks which declared sizes end a stream, and which streams are whole however they are written."""
 
 import asyncio
-import functools
 import time
 
 import pytest
-from stand_ins import DONE, EVENT, STREAM, chat_request, chunk, decode, router_with_endpoints, run, within
+from stand_ins import (
+    DONE,
+    EVENT,
+    STREAM,
+    chat_request,
+    chunk,
+    decode,
+    router_with_endpoints,
+    run,
+    streams_by_id,
+    within,
+)
 
 LAST_CHUNK = b"0\r\n\r\n"
 EVENT_LIMIT = 5.0  # seconds after a stream became malformed until the connection of its client must end
@@ -72,7 +82,7 @@
 
 
 def one_byte_chunks(data, chunks_per_piece):
-    """Return `data` in chunks of one byte, of which a piece has several."""
+    """Return `data` in chunks of one byte; each piece has several chunks."""
     chunks = [chunk(data[at : at + 1]) for at in range(len(data))]
     return [b"".join(chunks[at : at + chunks_per_piece]) for at in range(0, len(chunks), chunks_per_piece)]
 
@@ -109,14 +119,6 @@
     return write
 
 
-async def write_by_id(streams, call, writer):
-    """Answer a chat request with the stream that has its id; answer other calls like a decode endpoint."""
-    if call[0].startswith("POST /v1/chat"):
-        await streams[call[1]["x-correlation-id"]](writer)
-    else:
-        await decode(call, writer)
-
-
 async def read_until_closed(program, request):
     """Send a request; return the bytes until the router ends the connection, and the seconds until then."""
     begun = time.monotonic()
@@ -133,7 +135,7 @@
     streams = {f"r{number}": write for number, write in enumerate(MALFORMED.values())}
 
     async def test():
-        async with router_with_endpoints(tmp_path, decode=functools.partial(write_by_id, streams)) as program:
+        async with router_with_endpoints(tmp_path, decode=streams_by_id(streams)) as program:
             ends = await asyncio.gather(
                 *(read_until_closed(program, chat_request(id=each)) for each in streams)
             )
@@ -150,7 +152,7 @@
     streams = {f"r{number}": paced(pieces) for number, (_, pieces) in enumerate(WHOLE.values())}
 
     async def test():
-        async with router_with_endpoints(tmp_path, decode=functools.partial(write_by_id, streams)) as program:
+        async with router_with_endpoints(tmp_path, decode=streams_by_id(streams)) as program:
             answers = await asyncio.gather(
                 *(program.exchange(chat_request(id=each)) for each in streams), return_exceptions=True
             )
--- a/tests/frontends/test_stream_ends.py
+++ b/tests/frontends/test_stream_ends.py
@@ -1,7 +1,6 @@
 """Checks when a stream counts as whole, as stalled and as too long."""
 
 import asyncio
-import functools
 import time
 
 import pytest
@@ -15,6 +14,7 @@
     decode,
     router_with_endpoints,
     run,
+    streams_by_id,
     within,
 )
 
@@ -103,14 +103,6 @@
     return write
 
 
-async def write_by_id(streams, call, writer):
-    """Answer a chat request with the stream that has its id; answer other calls like a decode endpoint."""
-    if call[0].startswith("POST /v1/chat"):
-        await streams[call[1]["x-correlation-id"]](writer)
-    else:
-        await decode(call, writer)
-
-
 # Guards against a client that is left waiting while its endpoint sends bytes that belong to no event.
 def test_a_stream_without_another_event_ends_in_time_whatever_else_comes(tmp_path):
     streams = {f"r{number}": stalled_stream(name) for number, name in enumerate(STALLS)}
@@ -122,7 +114,7 @@
         return time.monotonic() - begun
 
     async def test():
-        async with router_with_endpoints(tmp_path, decode=functools.partial(write_by_id, streams)) as program:
+        async with router_with_endpoints(tmp_path, decode=streams_by_id(streams)) as program:
             times = await asyncio.gather(*(waited(program, request_id) for request_id in streams))
             late = {name: at for name, at in zip(STALLS, times, strict=True) if at > EVENT_LIMIT}
             assert not late
@@ -176,7 +168,7 @@
     streams = {"many": write_many_events, "slow": write_one_event_slowly}
 
     async def test():
-        async with router_with_endpoints(tmp_path, decode=functools.partial(write_by_id, streams)) as program:
+        async with router_with_endpoints(tmp_path, decode=streams_by_id(streams)) as program:
             many, slow = await asyncio.gather(
                 *(program.exchange(chat_request(id=request_id)) for request_id in streams)
             )
--- a/tests/support/endpoint_handlers.py
+++ b/tests/support/endpoint_handlers.py
@@ -55,3 +55,15 @@
         writer.write(chunk(DONE) + LAST_CHUNK)
 
     return handler
+
+
+def streams_by_id(streams):
+    """Return a handler that writes the stream with the id of a chat request; `streams` has writers by id."""
+
+    async def handler(call, writer):
+        if call[0].startswith(CHAT):
+            await streams[call[1]["x-correlation-id"]](writer)
+        else:
+            await decode(call, writer)
+
+    return handler
--- a/tests/support/stand_ins.py
+++ b/tests/support/stand_ins.py
@@ -11,6 +11,7 @@
     never_prefill,
     paused_stream,
     prefill,
+    streams_by_id,
 )
 from late_listener import LateListener
 from platform_requests import FACTS, SETTINGS, chat_request
@@ -49,5 +50,6 @@
     "run",
     "running_router",
     "started_process",
+    "streams_by_id",
     "within",
 ]
--- a/tests/transport/test_client_answer.py
+++ b/tests/transport/test_client_answer.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 import pytest
+from fake_responses import chunked_response
 from stand_ins import (
     DONE,
     EVENT,
@@ -85,18 +86,6 @@
         self.answer.complete("the stream")
 
 
-def stream(*pieces):
-    """Return a response whose body has the pieces."""
-    remaining = iter((*pieces, b""))
-
-    async def readany():
-        return next(remaining)
-
-    content = SimpleNamespace(readany=readany, read_nowait=lambda: b"", at_eof=lambda: True)
-    headers = {"Transfer-Encoding": "chunked"}
-    return SimpleNamespace(status=200, headers=headers, content=content, connection=None)
-
-
 def attempt(number):
     return OpenAttempt("q", number, SimpleNamespace(name="w"), None, is_prefill=False)
 
@@ -106,9 +95,9 @@
     async def test():
         sink, fed = RecordingSink(), []
         relay = ResponseRelay(MemoryBudget(5), fed.append)
-        first = asyncio.create_task(relay.relay(attempt(0), sink, stream(EVENT, DONE)))
+        first = asyncio.create_task(relay.relay(attempt(0), sink, chunked_response(EVENT, DONE)))
         await within(sink.first_written.wait())
-        second = await within(relay.relay(attempt(1), sink, stream(OTHER_EVENT, DONE)))
+        second = await within(relay.relay(attempt(1), sink, chunked_response(OTHER_EVENT, DONE)))
         assert second.status is AttemptStatus.CANCELLED and not sink.answer.done.done()
         sink.resume.set()
         assert (await within(first)).status is AttemptStatus.OK
--- a/tests/transport/test_response_memory.py
+++ b/tests/transport/test_response_memory.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 import pytest
+from fake_responses import chunked_response
 
 from llm_router.frontends.kserve.proxied_request import BufferedResponseSink
 from llm_router.lifecycle.effects import OpenAttempt
@@ -105,24 +106,12 @@
 LARGE_LINE = b"data: " + b"x" * 100_000
 
 
-def stream(*pieces):
-    """Return a chunked stream whose reads return the pieces and then its end."""
-    remaining = iter((*pieces, b""))
-
-    async def readany():
-        return next(remaining)
-
-    content = SimpleNamespace(readany=readany, read_nowait=lambda: b"", at_eof=lambda: True)
-    headers = {"Transfer-Encoding": "chunked"}
-    return SimpleNamespace(status=200, headers=headers, content=content, connection=None)
-
-
 # Guards against a large event that is not counted until it is sent, or that stays counted for good.
 def test_a_large_event_is_counted_until_it_is_sent():
     async def test():
         budget = MemoryBudget(100_000)
         sink = MeteredSink(budget)
-        response = stream(LARGE_LINE, b"\n\n", b"data: [DONE]\n\n")
+        response = chunked_response(LARGE_LINE, b"\n\n", b"data: [DONE]\n\n")
         result = await ResponseRelay(budget, lambda _event: None).relay(ATTEMPT, sink, response)
         assert result.status is AttemptStatus.OK and is_free(budget)
         assert sink.counted == [len(LARGE_LINE) + 2 - EVENT_ALLOWANCE, 0]
@@ -134,7 +123,7 @@
     async def test():
         budget = MemoryBudget(100_000)
         sink = MeteredSink(budget)
-        response = stream(b"data: 1\n\n", LARGE_LINE, b"x" * 100_000)
+        response = chunked_response(b"data: 1\n\n", LARGE_LINE, b"x" * 100_000)
         result = await ResponseRelay(budget, lambda _event: None).relay(ATTEMPT, sink, response)
         assert result.status is AttemptStatus.ERROR and is_free(budget)
 
