--- a/llm_router/transport/body_framing.py
+++ b/llm_router/transport/body_framing.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 
 SIZE_LINE = re.compile(rb"[ \t]*([0-9a-fA-F]+)")
+PLAIN_SIZE_LINE = re.compile(rb"([0-9a-fA-F]{1,16})\r\n")  # the usual form, which one piece contains whole
+LINE_END = b"\r\n"
 MAX_SIZE_DIGITS = 16  # maximum significant digits of a chunk's size; aiohttp's parser rejects longer ones
 
 
@@ -20,11 +22,6 @@
     began_at: float
     received_size: int = 0
 
-    @property
-    def remaining_size(self) -> int:
-        """The bytes that have not come yet."""
-        return self.declared_size - self.received_size
-
 
 class BodyFraming:
     """The frames of one body. `frame` is the incomplete frame, or None between two frames.
@@ -41,10 +38,13 @@
         """Follow the next bytes of the body, which were received at the loop time `now` in seconds."""
         position = 0
         while position < len(data) and not self._is_ended:
-            if self.frame is None:
-                position = self._read_line(data, position, now)
-            else:
+            if self.frame is not None:
                 position = self._read_frame(self.frame, data, position)
+            elif not self._line and (size_line := PLAIN_SIZE_LINE.match(data, position)):
+                self._begin_chunk(int(size_line[1], 16), now)
+                position = size_line.end()
+            else:
+                position = self._read_line(data, position, now)
 
     def exclude(self, seconds: float) -> None:
         """Record that the router read nothing for some seconds, which are not the endpoint's time."""
@@ -52,12 +52,14 @@
             self.frame.began_at += seconds
 
     def _read_frame(self, frame: Frame, data: bytes, position: int) -> int:
-        """Count bytes of the frame, and return the position after them."""
-        size = min(len(data) - position, frame.remaining_size)
-        frame.received_size += size
-        if not frame.remaining_size:
-            self.frame = None
-        return position + size
+        """Count bytes of the frame, and return the position after them, and after the line end of a chunk."""
+        remaining_size = frame.declared_size - frame.received_size
+        end = position + remaining_size
+        if end > len(data):
+            frame.received_size += len(data) - position
+            return len(data)
+        self.frame = None
+        return end + len(LINE_END) if data.startswith(LINE_END, end) else end
 
     def _read_line(self, data: bytes, position: int, now: float) -> int:
         """Read a line between two chunks, and return the position after it.
--- a/llm_router/transport/memory_budget.py
+++ b/llm_router/transport/memory_budget.py
@@ -56,8 +56,9 @@
 
         It may not if this is above its allowance while the budget is exceeded."""
         counted = max(0, size - self._allowance)
-        self._budget.add(counted - self._counted)
-        self._counted = counted
+        if counted != self._counted:
+            self._budget.add(counted - self._counted)
+            self._counted = counted
         return not counted or not self._budget.is_exceeded
 
     def release(self) -> None:
--- a/llm_router/transport/response_body.py
+++ b/llm_router/transport/response_body.py
@@ -6,7 +6,8 @@
 
 import aiohttp
 
-from llm_router.routing.declared_size import IncompleteFrame, credible_until
+from llm_router.routing import declared_size
+from llm_router.routing.declared_size import IncompleteFrame
 from llm_router.transport.body_framing import BodyFraming, Frame
 from llm_router.transport.clock import (
     elapsed_since,
@@ -50,9 +51,11 @@
 
     async def _wait(self, expires_at: int | None) -> bytes:
         """Wait for bytes until `expires_at` or until the frame is not credible; return b"" at the end."""
-        limits = [limit for limit in (expires_at, self._check_frame()) if limit is not None]
+        credible_until = self._check_frame()
+        if expires_at is None or (credible_until is not None and credible_until < expires_at):
+            expires_at = credible_until
         try:
-            async with asyncio.timeout_at(nanoseconds_to_seconds(min(limits)) if limits else None):
+            async with asyncio.timeout_at(None if expires_at is None else nanoseconds_to_seconds(expires_at)):
                 return await self._response.content.readany()
         except TimeoutError:
             # Bytes may have come in the turn of the event loop in which the time was over.
@@ -66,13 +69,12 @@
         """Return the time until which the incomplete frame is credible, or None if no frame is incomplete.
 
         Raise MalformedResponseError if this time is over."""
-        frame = self.incomplete_frame
-        if frame is None:
+        if self._framing is None or self._framing.frame is None:
             return None
+        frame = self._framing.frame
         began_at = to_nanoseconds(frame.began_at)
-        limit = credible_until(
-            IncompleteFrame(frame.declared_size, frame.received_size, began_at), self._ended_at
-        )
+        incomplete = IncompleteFrame(frame.declared_size, frame.received_size, began_at)
+        limit = declared_size.credible_until(incomplete, self._ended_at)
         if loop_nanoseconds() < limit:
             return limit
         fields = ", ".join(f"{name}: {value}" for name, value in describe_frame(frame).items())
--- a/tests/transport/test_body_framing.py
+++ b/tests/transport/test_body_framing.py
@@ -28,7 +28,7 @@
 def test_a_body_with_a_length_is_one_frame():
     framing = BodyFraming(1.0, content_length=10)
     framing.feed(b"12345", 2.0)
-    assert (framing.frame.remaining_size, framing.frame.began_at) == (5, 1.0)
+    assert (framing.frame.received_size, framing.frame.began_at) == (5, 1.0)
     framing.exclude(0.5)
     assert framing.frame.began_at == 1.5
     framing.feed(b"67890", 3.0)
