Release KV state of an attempt whose abort its endpoint has not confirmed for up to 3 s

A client left 27 ms after its prefill was written, just as the endpoint was cut off. Its abort counted as one behind a partition only after 120 ms without an answer, so two releases, acknowledged by other endpoints, ended the lease; the prefill was done 1.9 s later and its KV state stayed.

Cause: the length of an attempt was taken for proof that its endpoint is reachable. The proof is an answer: an aborted attempt whose endpoint has answered nothing since it began stays unconfirmed until that endpoint acknowledges a release, for 3 s at most. Such an endpoint gets the first release call, so that a reachable one confirms at once.

--- a/llm_router/lifecycle/attempt_events.py
+++ b/llm_router/lifecycle/attempt_events.py
@@ -30,9 +30,6 @@
     AttemptStatus.TIMEOUT: False,
 }
 ABORTED = frozenset({AttemptStatus.CANCELLED, AttemptStatus.TIMEOUT})
-# An aborted attempt without an answer suggests a network partition only if it ran for at least this time.
-# The time is several round trips.
-MIN_UNANSWERED_TIME = timedelta(milliseconds=120)
 # Only an attempt that was written ends with one of these statuses.
 STATUSES_AFTER_WRITE = frozenset(
     {
@@ -130,24 +127,20 @@
     if had_response or status is AttemptStatus.OK:
         request.change(RequestChange.CLOSED)
     if attempt.was_written or status in STATUSES_AFTER_WRITE:
-        may_be_unreachable = status in ABORTED and _may_be_unreachable(state, now, attempt)
+        is_silent = status in ABORTED and _is_silent(state, attempt)
+        silent_endpoint = attempt.endpoint_id if is_silent else None
         if attempt.is_prefill:
-            request.lease.prefill_ended(now, status, may_be_unreachable=may_be_unreachable)
+            request.lease.prefill_ended(now, status, silent_endpoint=silent_endpoint)
         elif not had_response:
-            request.lease.decode_ended(event.attempt, now, status, may_be_unreachable=may_be_unreachable)
+            request.lease.decode_ended(event.attempt, now, status, silent_endpoint=silent_endpoint)
         yield from cancel_release_calls(request)
     _record_contact(state, now, attempt, status, event.connection_fault)
     yield from consult_policy(state, now, _policy_event(event, now, request, attempt, status))
     yield from complete_request(state, now, event.request_id)
 
 
-def _may_be_unreachable(state: RouterState, now: timedelta, attempt: Attempt) -> bool:
-    """Return whether an endpoint may be unreachable, given an attempt to it that is aborted now.
-
-    This is the case if the attempt ran for MIN_UNANSWERED_TIME and the endpoint answered no other call in
-    the meantime."""
-    if now - attempt.opened_at < MIN_UNANSWERED_TIME:
-        return False
+def _is_silent(state: RouterState, attempt: Attempt) -> bool:
+    """Return whether an endpoint has answered no call since an attempt to it began."""
     contact = state.endpoint_table.last_contacts.get(attempt.endpoint_id)
     return contact is None or not contact.answered or contact.at < attempt.opened_at
 
--- a/llm_router/lifecycle/kv_lease.py
+++ b/llm_router/lifecycle/kv_lease.py
@@ -96,6 +96,9 @@
     state: LeaseState = LeaseState.EMPTY
     # KV state or reservations may appear until this time, so a release that starts earlier may miss some.
     may_arrive_until: timedelta = timedelta()
+    # The times of aborts by the number of the endpoint, until the endpoint answers a later call.
+    # The closes of these attempts may be late.
+    unconfirmed_closes: dict[int, timedelta] = field(default_factory=dict)
     # All KV state and reservations from before this time are freed.
     released_before: timedelta = timedelta()
     # The last time at which KV state or reservations were left that no attempt will claim.
@@ -134,11 +137,11 @@
             self.schedule.plan_overdue_release(now)
 
     def prefill_ended(
-        self, now: timedelta, status: AttemptStatus, *, may_be_unreachable: bool = False
+        self, now: timedelta, status: AttemptStatus, *, silent_endpoint: int | None = None
     ) -> None:
         """Record the end of a prefill attempt that was written.
 
-        `may_be_unreachable` has the same meaning as in `decode_ended`."""
+        `silent_endpoint` has the same meaning as in `decode_ended`."""
         if status is AttemptStatus.PREFILLED:
             self._change(LeaseChange.PREFILLED)
             self.schedule.calls = None
@@ -146,8 +149,8 @@
             self.may_arrive_until = max(self.may_arrive_until, now)
             self.schedule.release_at = self.schedule.claim_deadline(now)
         elif status in LATE_PREFILL_WINDOWS:
-            window = MAX_CLOSE_DELAY_IF_UNREACHABLE if may_be_unreachable else LATE_PREFILL_WINDOWS[status]
-            self._record_orphaned_resources(now, now + window)
+            self._record_unconfirmed_close(now, silent_endpoint)
+            self._record_orphaned_resources(now, now + LATE_PREFILL_WINDOWS[status])
             if status is AttemptStatus.RESET:
                 self.prefill_may_run_until = now + MAX_PREFILL_TIME_AFTER_RESET
             if self.state is LeaseState.ORPHANED:
@@ -155,13 +158,14 @@
                 self.schedule.release_at = now + CLOSE_SETTLE_TIME
 
     def decode_ended(
-        self, attempt: int, now: timedelta, status: AttemptStatus, *, may_be_unreachable: bool = False
+        self, attempt: int, now: timedelta, status: AttemptStatus, *, silent_endpoint: int | None = None
     ) -> None:
         """Record the end of a decode attempt that was written and produced no response.
 
         Available KV state is kept for another attempt; otherwise a release is planned. An endpoint that has
-        not yet seen the abort still protects the KV state from release calls. `may_be_unreachable` means
-        that the attempt was aborted and its endpoint has answered no request since the attempt began."""
+        not yet seen the abort still protects the KV state from release calls. `silent_endpoint` is the number
+        of the attempt's endpoint if the attempt was aborted and the endpoint has answered no call since it
+        began. Such an endpoint may be unreachable."""
         self.claims.discard(attempt)
         if status in NEVER_ARRIVED:
             # The attempt did not reach its endpoint, so its claim no longer keeps the lease open.
@@ -169,8 +173,8 @@
             return
         if self.is_finished:
             return
-        close_delay = MAX_CLOSE_DELAY_IF_UNREACHABLE if may_be_unreachable else MAX_CLOSE_DELAY
-        closed_by = now + close_delay if status in LATE_PREFILL_WINDOWS else now
+        self._record_unconfirmed_close(now, silent_endpoint)
+        closed_by = now + MAX_CLOSE_DELAY if status in LATE_PREFILL_WINDOWS else now
         if self.state is LeaseState.AVAILABLE:
             # A running release would free the KV state that the next attempt needs.
             self.schedule.calls = None
@@ -179,6 +183,15 @@
         else:
             self._record_orphaned_resources(now + CLOSE_SETTLE_TIME, closed_by)
 
+    def _record_unconfirmed_close(self, now: timedelta, silent_endpoint: int | None) -> None:
+        """Record an abort whose close may reach its endpoint late, unless `silent_endpoint` is None."""
+        if silent_endpoint is not None:
+            self.unconfirmed_closes[silent_endpoint] = now
+
+    def endpoint_answered(self, endpoint: int) -> None:
+        """Record that an endpoint is reachable, so that the closes of its connections are not late."""
+        self.unconfirmed_closes.pop(endpoint, None)
+
     def reservation_sent(self, now: timedelta, *, prefill_written: bool) -> None:
         """Record that a reservation call has started; the call is written only after its prefill."""
         self.pending_reservations += 1
@@ -276,7 +289,11 @@
     @property
     def _resources_may_appear(self) -> bool:
         """Whether KV state or reservations may have appeared since the last release, or may still appear."""
-        return bool(self.pending_reservations) or self.released_before < self.may_arrive_until
+        closed_by = (
+            aborted_at + MAX_CLOSE_DELAY_IF_UNREACHABLE for aborted_at in self.unconfirmed_closes.values()
+        )
+        may_arrive_until = max((self.may_arrive_until, *closed_by))
+        return bool(self.pending_reservations) or self.released_before < may_arrive_until
 
     def _finish_if_released(self) -> None:
         """Set an orphaned lease to empty once a release has freed every resource that can exist.
--- a/llm_router/lifecycle/release_order.py
+++ b/llm_router/lifecycle/release_order.py
@@ -29,13 +29,17 @@
 def release_order(state: RouterState, request: Request) -> tuple[Endpoint, ...]:
     """Return the endpoints to call for a release, the one with the latest answer first.
 
+    Endpoints to which a close may be late come before it: their answer shows that they are reachable.
     Any endpoint accepts a release call for any request. The other endpoints alternate between zones, because
     a network partition may cut off one zone with all endpoints that the request used. Endpoints whose last
     contact failed come at the end of their zone. Endpoints that the request used but that are not listed now
     come last; if the endpoint list is empty, they are the only ones to call."""
     by_contact = sorted(
         _candidates(state, request),
-        key=lambda number: _contact_key(state.endpoint_table.last_contacts.get(number)),
+        key=lambda number: (
+            number not in request.lease.unconfirmed_closes,
+            _contact_key(state.endpoint_table.last_contacts.get(number)),
+        ),
     )
     listed = [state.endpoints[number] for number in by_contact]
     unlisted = (each.endpoint for each in request.attempts if each.endpoint_id not in state.endpoints)
--- a/llm_router/lifecycle/releases.py
+++ b/llm_router/lifecycle/releases.py
@@ -107,6 +107,8 @@
         now, "acknowledged" if event.acknowledged else "not acknowledged", call.endpoint.name
     )
     if event.acknowledged:
+        if number is not None:
+            request.lease.endpoint_answered(number)
         request.lease.release_acknowledged(call.started_at)
         yield from cancel_release_calls(request)
     elif request.may_release(now) and not event.failed_locally:
--- a/tests/emulator/test_release_without_answers.py
+++ b/tests/emulator/test_release_without_answers.py
@@ -16,6 +16,7 @@
 # Seconds of partition before the client disconnects.
 # After that time without a response, the router assumes that the close of an attempt may arrive late.
 PARTITION_BEFORE_DISCONNECT = 0.2
+SHORT_PARTITION_BEFORE_DISCONNECT = 0.02  # seconds; the attempt is given up before its silence is noticed
 PARTITION_AFTER_DISCONNECT = 1.5  # seconds of partition after the client has disconnected
 # Milliseconds that a client waits. Its class must not be repeated, so the decode attempt lasts as long.
 LONG_TIME_REMAINING = 9000
@@ -120,15 +121,17 @@
     run(test())
 
 
-async def disconnect_during_partition(deployment, endpoint):
-    """Partition an endpoint while it processes the request `r1`, and disconnect the client."""
+async def disconnect_during_partition(deployment, endpoint, partition_before=PARTITION_BEFORE_DISCONNECT):
+    """Partition an endpoint while it processes the request `r1`, and disconnect the client.
+
+    The partition lasts for `partition_before` seconds before the client disconnects."""
     endpoint.finish.clear()
     _, writer = await deployment.router.connect()
     writer.write(chat_request("r1", facts=FACTS))
     await deployment.until_called(endpoint.name, "POST /v1/chat")
     await deployment.record.wait_until(lambda: deployment.record.of("r1").has_attempt_in_flight)
     endpoint.inbound.clear()
-    await asyncio.sleep(PARTITION_BEFORE_DISCONNECT)
+    await asyncio.sleep(partition_before)
     writer.close()
     await asyncio.sleep(PARTITION_AFTER_DISCONNECT)
 
@@ -167,3 +170,18 @@
             deployment["r1"].inbound.set()
 
     run(test())
+
+
+# Guards against KV state that stays leased because the attempt was too short to show a partition.
+@pytest.mark.parametrize("release_timeout", RELEASE_TIMEOUTS)
+def test_kv_state_is_released_if_a_client_leaves_just_after_a_partition_began(tmp_path, release_timeout):
+    async def test():
+        settings = customer_settings(release_timeout, reservations=False)
+        async with gated_deployment(tmp_path, settings, ONE_OF_EACH) as deployment:
+            await disconnect_during_partition(deployment, deployment["r1"], SHORT_PARTITION_BEFORE_DISCONNECT)
+            deployment["r1"].finish.set()
+            await deployment.until_leased("r1")
+            assert await deployment.record.final_violations() == []
+            deployment["r1"].inbound.set()
+
+    run(test())
