--- a/llm_router/emulator/load_generator.py
+++ b/llm_router/emulator/load_generator.py
@@ -256,15 +256,15 @@
         if head.headers.get("transfer-encoding") != "chunked":
             await reader.readexactly(int(head.headers.get("content-length", 0)))
             return head
-        is_whole = False
+        is_complete = False
         try:
             await self._receive_events(request_id, reader)
-            is_whole = True
+            is_complete = True
         except (asyncio.IncompleteReadError, ConnectionError, ValueError):
             self._oracle.traffic.counts["streams cut"] += 1
             return head._replace(headers={"connection": "close"})
         finally:
-            self._oracle.clients.stream_ended(request_id, is_whole=is_whole)
+            self._oracle.clients.stream_ended(request_id, is_complete=is_complete)
         return head
 
     async def _receive_events(self, request_id: str, reader: asyncio.StreamReader) -> None:
--- a/llm_router/emulator/oracle/client_checks.py
+++ b/llm_router/emulator/oracle/client_checks.py
@@ -67,13 +67,13 @@
         """Record that the stream for a request is malformed from now on."""
         self._traffic.requests[request_id].malformed_at = self._clock.now
 
-    def stream_ended(self, request_id: str, *, is_whole: bool) -> None:
+    def stream_ended(self, request_id: str, *, is_complete: bool) -> None:
         """Check the end of a stream: a malformed one must end in time, and not as if it were whole."""
         record = self._traffic.requests[request_id]
         if record.malformed_at is None:
             return
         open_for = self._clock.now - record.malformed_at
-        if is_whole:
+        if is_complete:
             self._violations.add(Rule.LOST, record.router, f"{request_id}: a malformed stream ended as whole")
         elif open_for > MALFORMED_STREAM_LIMIT + self._clock.scheduling_delay:
             detail = f"{request_id}: a stream was open for {open_for:.3f} s after it became malformed"
--- a/llm_router/lifecycle/kv_lease.py
+++ b/llm_router/lifecycle/kv_lease.py
@@ -12,6 +12,7 @@
 from llm_router.lifecycle.events import ReservationOutcome
 from llm_router.lifecycle.release_calls import ReleaseCalls
 from llm_router.lifecycle.release_schedule import MILLISECOND, ReleaseSchedule
+from llm_router.lifecycle.unconfirmed_closes import UnconfirmedCloses
 from llm_router.routing.events import AttemptStatus
 
 # A decode attempt may wait at least this long for its connection, unless a release is due earlier.
@@ -21,8 +22,6 @@
 CLOSE_SETTLE_TIME = 15 * MILLISECOND
 # The close of a connection reaches a reachable endpoint within this time.
 MAX_CLOSE_DELAY = 200 * MILLISECOND
-# The close of a connection may take this long to reach an endpoint behind a network partition.
-MAX_CLOSE_DELAY_IF_UNREACHABLE = timedelta(seconds=3)
 # An unanswered reservation call may arrive this late, after a network partition.
 MAX_RESERVATION_DELAY = timedelta(seconds=3)
 # A prefill may continue at its endpoint for this long after its connection was reset.
@@ -96,9 +95,8 @@
     state: LeaseState = LeaseState.EMPTY
     # KV state or reservations may appear until this time, so a release that starts earlier may miss some.
     may_arrive_until: timedelta = timedelta()
-    # The times of aborts by the number of the endpoint, until the endpoint answers a later call.
-    # The closes of these attempts may be late.
-    unconfirmed_closes: dict[int, timedelta] = field(default_factory=dict)
+    # Until these closes have reached their endpoints, KV state may appear there as well.
+    unconfirmed_closes: UnconfirmedCloses = field(default_factory=UnconfirmedCloses)
     # All KV state and reservations from before this time are freed.
     released_before: timedelta = timedelta()
     # The last time at which KV state or reservations were left that no attempt will claim.
@@ -149,7 +147,8 @@
             self.may_arrive_until = max(self.may_arrive_until, now)
             self.schedule.release_at = self.schedule.claim_deadline(now)
         elif status in LATE_PREFILL_WINDOWS:
-            self._record_unconfirmed_close(now, silent_endpoint)
+            if silent_endpoint is not None:
+                self.unconfirmed_closes.record_abort(silent_endpoint, now)
             self._record_orphaned_resources(now, now + LATE_PREFILL_WINDOWS[status])
             if status is AttemptStatus.RESET:
                 self.prefill_may_run_until = now + MAX_PREFILL_TIME_AFTER_RESET
@@ -173,7 +172,8 @@
             return
         if self.is_finished:
             return
-        self._record_unconfirmed_close(now, silent_endpoint)
+        if silent_endpoint is not None:
+            self.unconfirmed_closes.record_abort(silent_endpoint, now)
         closed_by = now + MAX_CLOSE_DELAY if status in LATE_PREFILL_WINDOWS else now
         if self.state is LeaseState.AVAILABLE:
             # A running release would free the KV state that the next attempt needs.
@@ -183,15 +183,6 @@
         else:
             self._record_orphaned_resources(now + CLOSE_SETTLE_TIME, closed_by)
 
-    def _record_unconfirmed_close(self, now: timedelta, silent_endpoint: int | None) -> None:
-        """Record an abort whose close may reach its endpoint late, unless `silent_endpoint` is None."""
-        if silent_endpoint is not None:
-            self.unconfirmed_closes[silent_endpoint] = now
-
-    def endpoint_answered(self, endpoint: int) -> None:
-        """Record that an endpoint is reachable, so that the closes of its connections are not late."""
-        self.unconfirmed_closes.pop(endpoint, None)
-
     def reservation_sent(self, now: timedelta, *, prefill_written: bool) -> None:
         """Record that a reservation call has started; the call is written only after its prefill."""
         self.pending_reservations += 1
@@ -289,10 +280,7 @@
     @property
     def _resources_may_appear(self) -> bool:
         """Whether KV state or reservations may have appeared since the last release, or may still appear."""
-        closed_by = (
-            aborted_at + MAX_CLOSE_DELAY_IF_UNREACHABLE for aborted_at in self.unconfirmed_closes.values()
-        )
-        may_arrive_until = max((self.may_arrive_until, *closed_by))
+        may_arrive_until = max(self.may_arrive_until, self.unconfirmed_closes.expected_until)
         return bool(self.pending_reservations) or self.released_before < may_arrive_until
 
     def _finish_if_released(self) -> None:
--- a/llm_router/lifecycle/releases.py
+++ b/llm_router/lifecycle/releases.py
@@ -108,7 +108,7 @@
     )
     if event.acknowledged:
         if number is not None:
-            request.lease.endpoint_answered(number)
+            request.lease.unconfirmed_closes.confirm(number)
         request.lease.release_acknowledged(call.started_at)
         yield from cancel_release_calls(request)
     elif request.may_release(now) and not event.failed_locally:
--- a/llm_router/transport/event_parser.py
+++ b/llm_router/transport/event_parser.py
@@ -61,7 +61,7 @@
         return self._event_size + line_size
 
     @property
-    def kept_size(self) -> int:
+    def buffered_size(self) -> int:
         """The bytes that are kept until the event that they belong to is complete."""
         return len(self._pending)
 
--- a/llm_router/transport/stream_relay.py
+++ b/llm_router/transport/stream_relay.py
@@ -64,12 +64,12 @@
         """Relay the stream to its end; bytes are counted until the client's connection has taken them."""
         while piece := await self._body.read(None if self._timeout is None else self._timeout.expires_at):
             parsed = self._parser.feed(piece)
-            self._count(self._parser.kept_size + len(parsed.data))
+            self._count(self._parser.buffered_size + len(parsed.data))
             if parsed.has_event and self._parser.is_ended:
                 self._body.last_event_received()
             if parsed.data and not await self._forward(parsed):
                 return
-            self._count(self._parser.kept_size)
+            self._count(self._parser.buffered_size)
             if self._timeout is not None:
                 self._timeout.event_grew(loop_nanoseconds(), self._parser.incomplete_size)
         if not self._body.is_complete:
--- a/tests/emulator/test_oracle.py
+++ b/tests/emulator/test_oracle.py
@@ -71,15 +71,15 @@
 
 
 @pytest.mark.parametrize(
-    ("open_for", "is_whole", "violated"),
+    ("open_for", "is_complete", "violated"),
     [(4.9, False, []), (5.1, False, [Rule.LOST]), (0.1, True, [Rule.LOST])],
 )
 def test_a_malformed_stream_must_end_in_time_and_not_as_if_it_were_whole(
-    oracle, clock, open_for, is_whole, violated
+    oracle, clock, open_for, is_complete, violated
 ):
     oracle.clients.stream_malformed("q")
     clock.now += open_for
-    oracle.clients.stream_ended("q", is_whole=is_whole)
+    oracle.clients.stream_ended("q", is_complete=is_complete)
     assert violated_rules(oracle) == violated
 
 
@@ -87,7 +87,7 @@
     oracle.clients.stream_malformed("q")
     oracle.clients.stream_started("q")
     clock.now += 9
-    oracle.clients.stream_ended("q", is_whole=True)
+    oracle.clients.stream_ended("q", is_complete=True)
     assert violated_rules(oracle) == []
 
 
--- a/tests/transport/test_event_parser.py
+++ b/tests/transport/test_event_parser.py
@@ -49,7 +49,7 @@
 def test_an_event_has_a_maximum_size():
     parser = EventStreamParser()
     parser.feed(b"data: " + b"x" * (MAX_EVENT_SIZE - 6))
-    assert parser.kept_size == MAX_EVENT_SIZE
+    assert parser.buffered_size == MAX_EVENT_SIZE
     with pytest.raises(EventStreamError, match="over the limit"):
         parser.feed(b"x")
 
