--- a/tests/transport/test_response_body.py
+++ b/tests/transport/test_response_body.py
@@ -46,7 +46,7 @@
 
     async def test():
         async with response_body(write) as body:
-            asyncio.get_running_loop().call_later(0.01, time.sleep, 0.2)
+            asyncio.get_running_loop().call_later(0.01, time.sleep, 0.6)
             assert await body.read(loop_nanoseconds() + 100 * MILLISECOND) == b"hello"
             with pytest.raises(TimeoutError):
                 await body.read(loop_nanoseconds() + 50 * MILLISECOND)
