Log an event once a second again, and aborted streams alone five times

The higher limit is needed for stream_aborted alone, whose lines tell which request ended for which reason. The test is unchanged and passes.

--- a/llm_router/log.py
+++ b/llm_router/log.py
@@ -17,8 +17,7 @@
 STANDARD_ERROR = 2
 # Time limit for writing the last lines at exit, in case the consumer stalls.
 FLUSH_TIMEOUT = timedelta(milliseconds=500)
-RATE_LIMIT_INTERVAL = timedelta(seconds=1)  # the interval in which an event may have RATE_LIMIT_LINES lines
-RATE_LIMIT_LINES = 5  # Several streams may end for one reason at once, and each line tells which.
+RATE_LIMIT_INTERVAL = timedelta(seconds=1)  # the interval for which a limit on the lines of one event holds
 
 
 @dataclass(slots=True)
@@ -49,8 +48,8 @@
     _queue.put(encode(event, fields))
 
 
-def emit_rate_limited(event: str, **fields: object) -> None:
-    """Log an event, but at most RATE_LIMIT_LINES times in a RATE_LIMIT_INTERVAL.
+def emit_rate_limited(event: str, max_lines: int = 1, /, **fields: object) -> None:
+    """Log an event, but at most `max_lines` times in a RATE_LIMIT_INTERVAL.
 
     The field `more` of a line is the number of lines suppressed since the previous logged line.
     Without the limit, a flood of events would fill the log and take up the router's only core."""
@@ -59,7 +58,7 @@
     if now - state.began_at >= RATE_LIMIT_INTERVAL.total_seconds():
         state.began_at = now
         state.logged = 0
-    if state.logged >= RATE_LIMIT_LINES:
+    if state.logged >= max_lines:
         state.suppressed += 1
         return
     if state.suppressed:
--- a/llm_router/transport/stream_relay.py
+++ b/llm_router/transport/stream_relay.py
@@ -18,6 +18,7 @@
 from llm_router.transport.response_body import ResponseBody, describe_frame
 
 EVENT_ALLOWANCE = 64 * 1024  # bytes of an incomplete event that are not counted in the budget for memory
+MAX_LOG_LINES = 5  # lines per second about aborted streams; several may end at once, each for its own reason
 TAIL_SIZE = 2048  # bytes kept from the end of a stream, which contains token usage and the load report
 
 
@@ -108,6 +109,7 @@
         frame = self._body.incomplete_frame
         log.emit_rate_limited(
             "stream_aborted",
+            MAX_LOG_LINES,
             request=self._effect.request_id,
             endpoint=self._effect.endpoint.name,
             reason=reason,
