Soak: excuse a late request on a new connection that a shutdown closes unread

The request was not read: a router reports one that it has read (closed_unanswered), which stays a violation.

A request that is written over 0.4 s after SIGTERM on a new connection that ends without an answer is now abandoned instead of lost.

--- a/llm_router/emulator/load_generator.py
+++ b/llm_router/emulator/load_generator.py
@@ -185,7 +185,12 @@
     async def _check_unanswered(
         self, request_id: str, process: asyncio.subprocess.Process, error: Exception
     ) -> None:
-        """Report a request without a complete response, unless a kill of the router excuses it."""
+        """Report a request without a complete response, unless the end of the router excuses it."""
+        written_at = self._oracle.traffic.requests[request_id].written_at
+        crossed_close = isinstance(error, NoResponseError) and self._router.may_close_unread(written_at)
+        if crossed_close and self._router.process is process:
+            self._oracle.clients.request_abandoned(request_id)
+            return
         await asyncio.sleep(KILL_GRACE)
         was_killed = process.returncode is not None and process.returncode < 0
         if not was_killed or self._must_have_been_answered(request_id, process):
--- a/llm_router/emulator/router_process.py
+++ b/llm_router/emulator/router_process.py
@@ -29,6 +29,8 @@
 STOP_TIMEOUT = COUNTED_DEADLINE + STOP_GRACE  # seconds from SIGTERM to SIGKILL, the minimum of the protocol
 SIGNAL_INTERVAL = 0.02  # seconds between two signals of one stop
 NEW_CONNECTION_GRACE = 0.3  # seconds after the last signal during which clients still open connections
+# Maximum seconds after SIGTERM for which the protocol has clients send on new connections.
+NEW_CONNECTION_PERIOD = 0.4
 DISCOVERY_OVERLAP = 1.5  # seconds after a reload during which the old discovery address still answers
 RECENT_LOG_LINES = 30  # maximum number of log lines kept for crash reports
 MAX_LINE_BYTES = 1 << 20  # maximum length of a log line
@@ -157,6 +159,12 @@
         is_late = written_at > self.terminated_at + STOP_GRACE
         return is_late or deadline < self.terminated_at + STOP_TIMEOUT
 
+    def may_close_unread(self, written_at: float) -> bool:
+        """Return whether the router may close a new connection without reading the request written at a time.
+
+        A late request on a new connection may cross the close. The router reports one that it has read."""
+        return self.terminated_at is not None and written_at > self.terminated_at + NEW_CONNECTION_PERIOD
+
     async def kill(self) -> None:
         """Kill the process with SIGKILL; the oracle does not check its leases, which endpoints free later."""
         self.ready = False
--- a/tests/emulator/test_router_process.py
+++ b/tests/emulator/test_router_process.py
@@ -44,3 +44,15 @@
         assert len(oracle.violations.violations) == crashes and process.ready
 
     asyncio.run(test())
+
+
+@pytest.mark.parametrize(("terminated_at", "is_excused"), [(None, False), (9.7, False), (9.5, True)])
+def test_only_a_request_written_late_after_sigterm_may_cross_the_close_of_a_new_connection(
+    tmp_path, terminated_at, is_excused
+):
+    async def test():
+        _, process = router(tmp_path)
+        process.terminated_at = terminated_at
+        assert process.may_close_unread(10.0) is is_excused
+
+    asyncio.run(test())
